--- /dev/null
+++ b/commands/client_section.go
@@ -0,0 +1,238 @@
+package commands
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"github.com/hornbeamrack/hornbeamrack/connection/messenger"
+	"github.com/hornbeamrack/hornbeamrack/process/controller"
+	"github.com/hornbeamrack/hornbeamrack/version/applier"
+	"github.com/hornbeamrack/hornbeamrack/version/parser"
+)
+
+// sectionName is the section that a command works on.
+type sectionName struct {
+	Name string `positional-arg-name:"SECTION"`
+}
+
+func addSectionCommands(p *flags.Parser, o *clientOptions) {
+	s := mustAdd(p, "section", "Show and change sections", "Each team edits only its own section of the document.", &struct{}{})
+	mustAdd(s, "list", "List all sections", "Example:\n  hornbeamctl section list", &sectionList{client: o})
+	mustAdd(s, "show", "Print a section", "Prints the section as it was written; redirect it to a file to edit it.\n\nExample:\n  hornbeamctl section show designs > designs.yaml", &sectionShow{client: o})
+	mustAdd(s, "edit", "Replace a section", "Replaces a section by a file. --base is the revision that the file was made from; without it the current one is taken, and 0 makes a new section. After a lost answer, the same command with the same --edit-id is safe.\n\nExamples:\n  hornbeamctl section edit designs --file designs.yaml --base 4\n  hornbeamctl section edit designs --file designs.yaml --edit-id launch-17", &sectionEdit{client: o})
+	mustAdd(s, "validate", "Check a section without changing anything", "Merges the file with the other teams' sections as an edit would.\n\nExample:\n  hornbeamctl section validate designs --file designs.yaml", &sectionValidate{client: o})
+	mustAdd(s, "diff", "Compare a file with the section in force", "Example:\n  hornbeamctl section diff designs --file designs.yaml", &sectionDiff{client: o})
+	mustAdd(s, "history", "List a section's revisions", "Example:\n  hornbeamctl section history designs", &sectionHistory{client: o})
+	mustAdd(s, "retire", "Take a section out of the document", "The section and its history are kept and can be restored after any time.\n\nExample:\n  hornbeamctl section retire designs", &sectionRetire{client: o})
+	mustAdd(s, "restore", "Bring back an earlier revision", "Brings back a retired section, or an earlier revision of one in force, as a new revision that is checked against today's services.\n\nExamples:\n  hornbeamctl section restore designs\n  hornbeamctl section restore designs --revision 3", &sectionRestore{client: o})
+}
+
+func readFile(name string) (string, error) {
+	if name == "-" {
+		b, err := io.ReadAll(os.Stdin)
+		return string(b), errors.WithStack(err)
+	}
+	b, err := os.ReadFile(name)
+	if err != nil {
+		return "", &Error{"read", KindUsage, err}
+	}
+	return string(b), nil
+}
+
+func (o *clientOptions) section(name string) (applier.Section, error) {
+	var s applier.Section
+	err := o.get("/v1/sections/"+name, &s)
+	return s, err
+}
+
+// baseOf returns the revision to edit: what the operator said, or the current.
+func (o *clientOptions) baseOf(name string, given *uint64) (uint64, error) {
+	if given != nil {
+		return *given, nil
+	}
+	s, err := o.section(name)
+	var own *Error
+	if errors.As(err, &own) && own.Kind == KindRefused {
+		return 0, nil
+	}
+	return s.Current.Number, err
+}
+
+// edit sends an edit and prints how it ended.
+func (o *clientOptions) edit(name string, req controller.EditRequest) error {
+	if !parser.ValidName(name) {
+		return &Error{"edit", KindUsage, errors.Errorf("section name %q is not valid; use lower-case letters, digits and hyphens", name)}
+	}
+	var r applier.Result
+	if err := o.post("/v1/sections/"+name, req, &r); err != nil {
+		return errors.WithMessagef(err, "edit id %s", req.EditID)
+	}
+	return o.report(r, func(w *tabwriter.Writer) {
+		row(w, fmt.Sprintf("accepted: section %s revision %d, version %d", name, r.Revision, r.Version))
+	})
+}
+
+// report prints a result, or fails with its message.
+func (o *clientOptions) report(r applier.Result, fill func(w *tabwriter.Writer)) error {
+	if r.Outcome == applier.OutcomeAccepted {
+		return o.show(r, fill)
+	}
+	if o.JSON {
+		if err := o.show(r, nil); err != nil {
+			return err
+		}
+	}
+	kind := KindRefused
+	message := r.Message
+	if r.Outcome == applier.OutcomeConflict {
+		kind = KindConflict
+		if r.Winner != nil {
+			message += fmt.Sprintf("\nthe winner, by team %s at %s:\n%s", r.Winner.Team, stamp(r.Winner.At), r.Winner.Body)
+		}
+	}
+	return &Error{"edit", kind, errors.New(message)}
+}
+
+type sectionList struct{ client *clientOptions }
+
+// Execute implements flags.Commander.
+func (c *sectionList) Execute([]string) error {
+	var list []applier.Section
+	if err := c.client.get("/v1/sections", &list); err != nil {
+		return err
+	}
+	return c.client.show(list, func(w *tabwriter.Writer) {
+		row(w, "SECTION", "TEAM", "REVISION", "VERSION", "STATE", "CHANGED")
+		for _, s := range list {
+			row(w, s.Name, s.Team, s.Current.Number, s.Current.Version, stateOf(s.Current), stamp(s.Current.At))
+		}
+	})
+}
+
+func stateOf(r applier.Revision) string {
+	if r.Retired {
+		return "retired"
+	}
+	return "in force"
+}
+
+type sectionShow struct {
+	client   *clientOptions
+	Revision uint64      `long:"revision" description:"An earlier revision" value-name:"N"`
+	Args     sectionName `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *sectionShow) Execute([]string) error {
+	s, err := c.client.section(c.Args.Name)
+	if err != nil {
+		return err
+	}
+	r := s.Current
+	if c.Revision > 0 {
+		old, ok := s.Find(c.Revision)
+		if !ok {
+			return &Error{"show", KindRefused, errors.Errorf("section %s has no revision %d", c.Args.Name, c.Revision)}
+		}
+		r = old
+	}
+	return c.client.show(r, func(w *tabwriter.Writer) { _, _ = w.Write(r.Body) })
+}
+
+type sectionEdit struct {
+	client *clientOptions
+	File   string      `short:"f" long:"file" required:"yes" description:"The new text; - reads standard input" value-name:"FILE"`
+	Base   *uint64     `long:"base" description:"The revision that the text was made from" value-name:"N"`
+	EditID string      `long:"edit-id" description:"Names the edit, so that it can be sent again" value-name:"ID"`
+	Args   sectionName `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *sectionEdit) Execute([]string) error {
+	body, err := readFile(c.File)
+	if err != nil {
+		return err
+	}
+	base, err := c.client.baseOf(c.Args.Name, c.Base)
+	if err != nil {
+		return err
+	}
+	return c.client.edit(c.Args.Name, controller.EditRequest{EditID: newEditID(c.EditID), Action: applier.ActionEdit, BaseRevision: base, Body: body})
+}
+
+type sectionValidate struct {
+	client *clientOptions
+	File   string      `short:"f" long:"file" required:"yes" description:"The text; - reads standard input" value-name:"FILE"`
+	Args   sectionName `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *sectionValidate) Execute([]string) error {
+	body, err := readFile(c.File)
+	if err != nil {
+		return err
+	}
+	var out messenger.Empty
+	if err := c.client.post("/v1/validate", controller.ValidateRequest{Section: c.Args.Name, Body: body}, &out); err != nil {
+		return err
+	}
+	return c.client.show(out, func(w *tabwriter.Writer) { row(w, "valid") })
+}
+
+type sectionHistory struct {
+	client *clientOptions
+	Args   sectionName `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *sectionHistory) Execute([]string) error {
+	s, err := c.client.section(c.Args.Name)
+	if err != nil {
+		return err
+	}
+	list := append(s.History, s.Current)
+	return c.client.show(list, func(w *tabwriter.Writer) {
+		row(w, "REVISION", "VERSION", "STATE", "TEAM", "CHANGED", "EDIT")
+		for _, r := range list {
+			row(w, r.Number, r.Version, stateOf(r), r.Team, stamp(r.At), r.EditID)
+		}
+	})
+}
+
+type sectionRetire struct {
+	client *clientOptions
+	Base   *uint64     `long:"base" description:"The revision to retire" value-name:"N"`
+	EditID string      `long:"edit-id" description:"Names the edit, so that it can be sent again" value-name:"ID"`
+	Args   sectionName `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *sectionRetire) Execute([]string) error {
+	base, err := c.client.baseOf(c.Args.Name, c.Base)
+	if err != nil {
+		return err
+	}
+	return c.client.edit(c.Args.Name, controller.EditRequest{EditID: newEditID(c.EditID), Action: applier.ActionRetire, BaseRevision: base})
+}
+
+type sectionRestore struct {
+	client   *clientOptions
+	Revision uint64      `long:"revision" description:"The revision to bring back; without it the last one" value-name:"N"`
+	Base     *uint64     `long:"base" description:"The current revision" value-name:"N"`
+	EditID   string      `long:"edit-id" description:"Names the edit, so that it can be sent again" value-name:"ID"`
+	Args     sectionName `positional-args:"yes" required:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *sectionRestore) Execute([]string) error {
+	base, err := c.client.baseOf(c.Args.Name, c.Base)
+	if err != nil {
+		return err
+	}
+	return c.client.edit(c.Args.Name, controller.EditRequest{EditID: newEditID(c.EditID), Action: applier.ActionRestore, BaseRevision: base, Restore: c.Revision})
+}
--- /dev/null
+++ b/commands/client_token.go
@@ -0,0 +1,25 @@
+package commands
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+
+	"github.com/hornbeamrack/hornbeamrack/process/controller"
+)
+
+const tokenBytes = 24
+
+// tokenCommand makes a team's token.
+type tokenCommand struct{}
+
+// Execute implements flags.Commander.
+func (c *tokenCommand) Execute([]string) error {
+	b := make([]byte, tokenBytes)
+	if _, err := rand.Read(b); err != nil {
+		return &Error{"token", KindFailure, err}
+	}
+	token := hex.EncodeToString(b)
+	fmt.Printf("token:     %s\ntokenHash: %s\n", token, controller.HashToken(token))
+	return nil
+}
--- /dev/null
+++ b/commands/daemon_check.go
@@ -0,0 +1,20 @@
+package commands
+
+import (
+	"fmt"
+
+	"github.com/hornbeamrack/hornbeamrack/process/configurer"
+)
+
+// checkCommand checks the settings.
+type checkCommand struct{ options *daemonOptions }
+
+// Execute implements flags.Commander.
+func (c *checkCommand) Execute([]string) error {
+	s, err := configurer.Load(c.options.Settings)
+	if err != nil {
+		return &Error{"check", KindUsage, err}
+	}
+	fmt.Printf("%s: settings of %s are valid, roles %v\n", c.options.Settings, s.Name, s.Roles)
+	return nil
+}
--- /dev/null
+++ b/commands/daemon_run.go
@@ -0,0 +1,171 @@
+package commands
+
+import (
+	"context"
+	"net"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/hornbeamrack/hornbeamrack/process/configurer"
+	"github.com/hornbeamrack/hornbeamrack/process/controller"
+	"github.com/hornbeamrack/hornbeamrack/process/proxier"
+	"github.com/hornbeamrack/hornbeamrack/process/reporter"
+	"github.com/hornbeamrack/hornbeamrack/process/tracer"
+)
+
+const traceFlushTimeout = 3 * time.Second
+
+// runCommand runs the daemon.
+type runCommand struct{ options *daemonOptions }
+
+// Execute implements flags.Commander.
+func (c *runCommand) Execute([]string) error {
+	s, err := configurer.Load(c.options.Settings)
+	if err != nil {
+		return &Error{"run", KindUsage, err}
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return runDaemon(ctx, s)
+}
+
+// parts are what the daemon is made of; they are built once.
+type parts struct {
+	settings configurer.Settings
+	log      *log.Logger
+	tracer   *tracer.Tracer
+	control  *controller.Controller // control is nil without the role.
+	node     *proxier.Proxier       // node is nil without the role.
+}
+
+func runDaemon(ctx context.Context, s configurer.Settings) error {
+	if s.MemoryLimitMB > 0 {
+		debug.SetMemoryLimit(int64(s.MemoryLimitMB) << 20)
+	}
+	p, err := build(s)
+	if err != nil {
+		return &Error{"run", KindFailure, err}
+	}
+	p.log.Info("started", "roles", s.Roles, "dataCentre", s.DataCentre)
+	err = p.run(ctx)
+	flush, cancel := context.WithTimeout(context.Background(), traceFlushTimeout)
+	defer cancel()
+	if closeErr := p.tracer.Close(flush); err == nil {
+		err = closeErr
+	}
+	p.log.Info("stopped", "err", err)
+	if err != nil {
+		return &Error{"run", KindFailure, err}
+	}
+	return nil
+}
+
+func build(s configurer.Settings) (*parts, error) {
+	p := &parts{settings: s, log: newLogger(s)}
+	var err error
+	p.tracer, err = tracer.Open(tracer.Options{Process: s.Name, File: s.Traces.File, Endpoint: s.Traces.Endpoint, Ratio: s.Traces.Ratio})
+	if err != nil {
+		return nil, err
+	}
+	if s.HasRole(configurer.RoleControl) {
+		p.control = newController(s, p.log)
+		if err := p.control.Open(); err != nil {
+			return nil, err
+		}
+	}
+	if s.HasRole(configurer.RoleNode) {
+		p.node = &proxier.Proxier{Settings: s, Log: p.log, Tracer: p.tracer, Wrap: countBytes}
+		if err := p.node.Open(); err != nil {
+			return nil, err
+		}
+	}
+	return p, nil
+}
+
+func newLogger(s configurer.Settings) *log.Logger {
+	l := log.NewWithOptions(os.Stderr, log.Options{ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Formatter: log.LogfmtFormatter})
+	if level, err := log.ParseLevel(s.LogLevel); err == nil {
+		l.SetLevel(level)
+	}
+	return l.With("process", s.Name)
+}
+
+func newController(s configurer.Settings, l *log.Logger) *controller.Controller {
+	c := &controller.Controller{
+		Name: s.Name, DataFolder: s.DataFolder, RPCAddress: s.Control.RPCAddress,
+		Operators: s.Control.OperatorAddress, Log: l,
+	}
+	for _, peer := range s.Control.Peers {
+		c.Peers = append(c.Peers, controller.Peer{Name: peer.Name, Address: peer.Address})
+	}
+	for _, t := range s.Control.Teams {
+		c.Teams = append(c.Teams, controller.Team{Name: t.Name, TokenHash: t.TokenHash})
+	}
+	return c
+}
+
+// run runs all parts until ctx ends or one fails. The node stops first, while
+// the control role in the same process still serves it.
+func (p *parts) run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	controlCtx, stopControl := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopControl()
+	tasks := pool.New().WithErrors()
+	if p.control != nil {
+		tasks.Go(func() error { defer cancel(); return p.control.Run(controlCtx) })
+	}
+	if p.node != nil {
+		tasks.Go(func() error { defer stopControl(); defer cancel(); return p.node.Run(ctx) })
+	} else {
+		context.AfterFunc(ctx, stopControl)
+	}
+	if p.settings.AdminAddress != "" {
+		r := &reporter.Reporter{Address: p.settings.AdminAddress, Checks: p.checks()}
+		tasks.Go(func() error { defer cancel(); return r.Run(ctx) })
+	}
+	return errors.WithStack(tasks.Wait())
+}
+
+func (p *parts) checks() []reporter.Check {
+	var checks []reporter.Check
+	if p.control != nil {
+		checks = append(checks, reporter.Check{Name: "control", Ready: p.control.Ready})
+	}
+	if p.node != nil {
+		checks = append(checks, reporter.Check{Name: "node", Ready: p.node.Ready})
+	}
+	return checks
+}
+
+var (
+	controlRead    = metrics.NewCounter(`hornbeam_control_bytes_total{direction="in"}`)
+	controlWritten = metrics.NewCounter(`hornbeam_control_bytes_total{direction="out"}`)
+)
+
+// countBytes counts what a connection carries.
+func countBytes(conn net.Conn) net.Conn { return countedConn{conn} }
+
+type countedConn struct{ net.Conn }
+
+// Read implements net.Conn.
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	controlRead.Add(n)
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	controlWritten.Add(n)
+	return n, err
+}
--- /dev/null
+++ b/connection/messenger/message.go
@@ -0,0 +1,142 @@
+package messenger
+
+import (
+	"time"
+
+	"github.com/hornbeamrack/hornbeamrack/process/replicator"
+	"github.com/hornbeamrack/hornbeamrack/version/applier"
+	"github.com/hornbeamrack/hornbeamrack/version/differ"
+)
+
+// The groups that control hosts replicate.
+const (
+	GroupConfig = "config"
+	GroupClaims = "claims"
+)
+
+// The remote methods of a control host.
+const (
+	MethodIdentify = "Peer.Identify"
+	MethodDeliver  = "Peer.Deliver"
+	MethodConfirm  = "Peer.Confirm"
+	MethodSeen     = "Peer.Seen"
+	MethodNodes    = "Peer.Nodes"
+	MethodMember   = "Peer.Member"
+	MethodSync     = "Node.Sync"
+	MethodCommand  = "Node.Command"
+	MethodAnnounce = "Node.Announce"
+)
+
+// Empty is an answer that says nothing.
+type Empty struct{}
+
+// Redirect tells a caller that asked a follower who leads.
+type Redirect struct {
+	NotLeader bool
+	Leader    string // Leader is an address; empty when there is no leader.
+}
+
+// IdentifyReply tells who a control host is. Initial is the membership that
+// its groups began with; it is empty on a host that belongs to none yet.
+type IdentifyReply struct {
+	ID, Name, Address string
+	Initial           replicator.Membership
+}
+
+// DeliverArgs carries messages of one group.
+type DeliverArgs struct {
+	Group     string
+	Envelopes []replicator.Envelope
+}
+
+// ConfirmArgs asks the leader of a group for a confirmed index.
+type ConfirmArgs struct{ Group string }
+
+// ConfirmReply is at or past everything that was accepted before the call.
+type ConfirmReply struct {
+	Redirect
+	Index uint64
+}
+
+// NodeReport is what a node says of itself with each Sync.
+type NodeReport struct {
+	Node        string             `json:"node"`
+	Incarnation uint64             `json:"incarnation"`
+	DataCentre  string             `json:"dataCentre"`
+	Version     uint64             `json:"version"`
+	Revision    uint64             `json:"revision"`
+	Targets     int                `json:"targets"`
+	Leaving     bool               `json:"leaving"`
+	Evidence    []applier.Evidence `json:"-"`
+}
+
+// Sighting is a report with its age, since clocks differ between hosts.
+type Sighting struct {
+	Report NodeReport    `json:"report"`
+	Age    time.Duration `json:"age"`
+	Lags   time.Duration `json:"lags"` // Lags is how long the node has been behind the newest version.
+}
+
+// SeenArgs carries the nodes that a follower saw to the leader.
+type SeenArgs struct{ Sightings []Sighting }
+
+// SyncArgs asks for what changed since Have, waiting for up to Wait.
+type SyncArgs struct {
+	Report NodeReport
+	Have   differ.Have
+	Wait   time.Duration
+}
+
+// SyncReply leads the node to the newest state. Unless Confirmed is set, the
+// control host could not make sure that its state is current, and the reply
+// holds nothing.
+type SyncReply struct {
+	Confirmed bool
+	Update    differ.Update
+}
+
+// CommandArgs proposes a command to a group.
+type CommandArgs struct {
+	Group   string
+	Command []byte
+}
+
+// CommandReply holds the encoded result of a command. Failure is set when the
+// command may or may not have been accepted.
+type CommandReply struct {
+	Redirect
+	Result  []byte
+	Failure string
+}
+
+// AnnounceArgs is the whole list of targets at one node.
+type AnnounceArgs struct{ Announcement applier.Announcement }
+
+// AnnounceReply tells whether the list was accepted.
+type AnnounceReply struct {
+	Redirect
+	Failure string
+}
+
+// MemberAction is a change of a group's members.
+type MemberAction string
+
+// The changes of members.
+const (
+	MemberAdd     MemberAction = "add"
+	MemberPromote MemberAction = "promote"
+	MemberRemove  MemberAction = "remove"
+)
+
+// MemberArgs changes the members of one group.
+type MemberArgs struct {
+	Group  string
+	Action MemberAction
+	Member replicator.Member
+}
+
+// NodesReply lists the nodes that the leader knows of.
+type NodesReply struct {
+	Redirect
+	Sightings []Sighting
+}
--- /dev/null
+++ b/connection/messenger/messenger.go
@@ -0,0 +1,243 @@
+// Package messenger defines what processes say to control hosts, and finds the
+// control host to say it to.
+//
+// Any control host serves Sync; commands go to the leader of their group. A
+// Client remembers who led last, follows redirects, and moves on to the next
+// host when one is silent, until the context's deadline.
+//
+// # Usage
+//
+//	c := &messenger.Client{Addresses: []string{"10.0.0.1:7000", "10.0.0.2:7000"}}
+//	result, err := c.Command(ctx, messenger.GroupClaims, command)
+package messenger
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/hornbeamrack/hornbeamrack/common/encoder"
+	"github.com/hornbeamrack/hornbeamrack/connection/dialer"
+	"github.com/hornbeamrack/hornbeamrack/connection/framer"
+	"github.com/hornbeamrack/hornbeamrack/request/claimer"
+	"github.com/hornbeamrack/hornbeamrack/version/applier"
+)
+
+const (
+	// PrefaceNode opens a connection of a node.
+	PrefaceNode = "HBN1"
+	// PrefacePeer opens a connection of another control host.
+	PrefacePeer = "HBP1"
+	// PrefaceBytes is the length of a preface.
+	PrefaceBytes = len(PrefaceNode)
+	// MaxNodeFrame bounds a frame between a node and a control host, in bytes.
+	MaxNodeFrame = 4 << 20
+	// MaxPeerFrame bounds a frame between control hosts, in bytes.
+	MaxPeerFrame = 256 << 20
+
+	tryTimeout   = 700 * time.Millisecond
+	pause        = 30 * time.Millisecond
+	writeTimeout = time.Second
+)
+
+// Kind tells why no control host did what it was asked.
+type Kind string
+
+// The kinds of messenger errors.
+const (
+	KindUnreachable Kind = "unreachable" // KindUnreachable means that the command never ran.
+	KindUncertain   Kind = "uncertain"   // KindUncertain means that the command may have run.
+	KindEncoding    Kind = "encoding"
+)
+
+// Error is the only error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("messenger: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Preface returns the function that opens a connection.
+func Preface(preface string) func(net.Conn) error {
+	return func(conn net.Conn) error {
+		if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return err
+		}
+		_, err := conn.Write([]byte(preface))
+		return err
+	}
+}
+
+// Pool keeps one connection to each address. It is safe for concurrent use.
+type Pool struct {
+	Preface  string
+	MaxFrame int                     // MaxFrame is in bytes.
+	Wrap     func(net.Conn) net.Conn // Wrap, when set, sees each new connection.
+
+	mu      sync.Mutex
+	clients map[string]*dialer.Client
+}
+
+// Get returns the client for an address.
+func (p *Pool) Get(address string) *dialer.Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c, ok := p.clients[address]; ok {
+		return c
+	}
+	if p.clients == nil {
+		p.clients = map[string]*dialer.Client{}
+	}
+	c := &dialer.Client{Address: address, Limits: framer.Limits{MaxFrame: p.MaxFrame}, Preface: Preface(p.Preface), Wrap: p.Wrap}
+	p.clients[address] = c
+	return c
+}
+
+// Close ends all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.clients {
+		c.Close()
+	}
+}
+
+// Client sends commands to the leaders of groups. Exported fields are set
+// before use; it is safe for concurrent use.
+type Client struct {
+	Addresses []string
+	Pool      *Pool
+
+	mu      sync.Mutex
+	leaders map[string]string
+	next    int
+}
+
+// Command runs a command of a group and returns its encoded result. The
+// command must be idempotent: it may be sent more than once.
+func (c *Client) Command(ctx context.Context, group string, command []byte) ([]byte, error) {
+	uncertain := false
+	var last error
+	for ctx.Err() == nil {
+		address := c.leader(group)
+		var reply CommandReply
+		err := c.call(ctx, address, MethodCommand, CommandArgs{group, command}, &reply)
+		switch {
+		case err == nil && !reply.NotLeader && reply.Failure == "":
+			return reply.Result, nil
+		case err == nil && reply.NotLeader:
+			c.redirect(group, address, reply.Leader)
+			last = errors.Errorf("%s does not lead", address)
+		case err == nil:
+			uncertain = true
+			last = errors.New(reply.Failure)
+		default:
+			uncertain = uncertain || !dialer.IsKind(err, dialer.KindUnreachable)
+			c.redirect(group, address, "")
+			last = err
+		}
+		wait(ctx, pause)
+	}
+	kind := KindUnreachable
+	if uncertain {
+		kind = KindUncertain
+	}
+	return nil, &Error{"command", kind, errors.WithMessage(last, "no control host answered in time")}
+}
+
+// Announce makes a node's list of targets known.
+func (c *Client) Announce(ctx context.Context, a applier.Announcement) error {
+	var last error
+	for ctx.Err() == nil {
+		address := c.leader(GroupConfig)
+		var reply AnnounceReply
+		err := c.call(ctx, address, MethodAnnounce, AnnounceArgs{a}, &reply)
+		switch {
+		case err == nil && !reply.NotLeader && reply.Failure == "":
+			return nil
+		case err == nil && reply.NotLeader:
+			c.redirect(GroupConfig, address, reply.Leader)
+		case err == nil:
+			last = errors.New(reply.Failure)
+		default:
+			c.redirect(GroupConfig, address, "")
+			last = err
+		}
+		wait(ctx, pause)
+	}
+	return &Error{"announce", KindUncertain, errors.WithMessage(last, "no control host answered in time")}
+}
+
+// call tries one control host for a short while.
+func (c *Client) call(ctx context.Context, address, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	return c.Pool.Get(address).Call(ctx, method, args, reply)
+}
+
+func (c *Client) leader(group string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if l := c.leaders[group]; l != "" {
+		return l
+	}
+	return c.Addresses[c.next%len(c.Addresses)]
+}
+
+// redirect notes that address does not lead, and who does if that is known.
+func (c *Client) redirect(group, address, leader string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leaders == nil {
+		c.leaders = map[string]string{}
+	}
+	if leader == address {
+		leader = ""
+	}
+	c.leaders[group] = leader
+	if leader == "" {
+		c.next++
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// Claims is the claims register as a node reaches it. It implements
+// claimer.Provider.
+type Claims struct {
+	Client *Client
+}
+
+// Do runs one command of the register.
+func (c Claims) Do(ctx context.Context, command claimer.Command) (claimer.Result, error) {
+	b, err := encoder.Marshal(command)
+	if err != nil {
+		return claimer.Result{}, &Error{"claim", KindEncoding, err}
+	}
+	out, err := c.Client.Command(ctx, GroupClaims, b)
+	if err != nil {
+		return claimer.Result{}, err
+	}
+	var r claimer.Result
+	if err := encoder.Unmarshal(out, &r); err != nil {
+		return claimer.Result{}, &Error{"claim", KindEncoding, err}
+	}
+	return r, nil
+}
--- /dev/null
+++ b/connection/registrar/registrar.go
@@ -0,0 +1,252 @@
+// Package registrar holds the targets on a node's own host.
+//
+// A target announces itself and renews its lease while it lives. When it says
+// that it leaves, or its lease runs out, its limiter is closed: new work stops
+// at once, requests in flight go on. The registrar is the authority on its
+// targets; what other nodes know of them may be older.
+//
+// # Usage
+//
+//	r := &registrar.Registrar{}
+//	err := r.Announce(registrar.Announcement{Target: "t1", Service: "designs", ...})
+//	target, ok := r.Find("t1")
+//	list, changed := r.List()
+package registrar
+
+import (
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/hornbeamrack/hornbeamrack/request/forwarder"
+	"github.com/hornbeamrack/hornbeamrack/request/limiter"
+	"github.com/hornbeamrack/hornbeamrack/version/parser"
+)
+
+const (
+	// LeaseTime is how long an announcement counts without renewal.
+	LeaseTime = 6 * time.Second
+	// MaxTargets bounds the targets on one host.
+	MaxTargets = 64
+
+	maxSlots = 10_000
+)
+
+// Kind tells why an announcement was refused.
+type Kind string
+
+// The kinds of registrar errors.
+const (
+	KindInvalid Kind = "invalid"
+	KindFull    Kind = "full"
+	KindUnknown Kind = "unknown"
+)
+
+// Error is the only error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("registrar: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Announcement is what a target says of itself.
+type Announcement struct {
+	Target      string `json:"target"`
+	Service     string `json:"service"`
+	Version     string `json:"version"`
+	Address     string `json:"address"` // Address is the target's own, on this host.
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+	StartedAt   int64  `json:"startedAt"` // StartedAt is in Unix milliseconds; it tells one life of the target from the next.
+}
+
+// check fills in defaults and refuses what cannot work.
+func (a *Announcement) check() error {
+	if a.Version == "" {
+		a.Version = "v1"
+	}
+	for _, f := range []struct{ key, value string }{{"target", a.Target}, {"service", a.Service}, {"version", a.Version}} {
+		if !parser.ValidName(f.value) {
+			return errors.Errorf("%s %q is not valid; use lower-case letters, digits and hyphens, a letter first", f.key, f.value)
+		}
+	}
+	host, _, err := net.SplitHostPort(a.Address)
+	if err != nil || net.ParseIP(host) == nil {
+		return errors.Errorf("address %q is not IP:PORT", a.Address)
+	}
+	if a.Slots < 0 || a.Slots > maxSlots || a.Connections < 0 || a.Connections > maxSlots {
+		return errors.Errorf("slots and connections are from 1 to %d", maxSlots)
+	}
+	if a.Slots == 0 {
+		a.Slots = parser.DefaultSlots
+	}
+	if a.Connections == 0 {
+		a.Connections = parser.DefaultConnections
+	}
+	return nil
+}
+
+// Target is one target in one of its lives.
+type Target struct {
+	Announcement
+	Limiter   *limiter.Limiter
+	Forwarder *forwarder.Forwarder
+
+	expiresAt time.Time
+	leaving   bool
+}
+
+// Registrar is safe for concurrent use.
+type Registrar struct {
+	Queue int              // Queue is the number of requests that may wait for each target; parser.DefaultQueue when zero.
+	Now   func() time.Time // Now is time.Now when nil.
+
+	mu      sync.Mutex
+	targets map[string]*Target
+	changed chan struct{}
+}
+
+// Announce takes in a new target or renews a lease. A target that changed
+// anything about itself, its start included, replaces its earlier life.
+func (r *Registrar) Announce(a Announcement) error {
+	if err := a.check(); err != nil {
+		return &Error{"announce", KindInvalid, err}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old := r.targets[a.Target]
+	if old != nil && old.Announcement == a && !old.leaving {
+		old.expiresAt = r.now().Add(LeaseTime)
+		return nil
+	}
+	if old != nil && old.leaving && old.StartedAt == a.StartedAt {
+		return nil // A renewal crossed the target's own leave on the way.
+	}
+	if old == nil && len(r.targets) >= MaxTargets {
+		return &Error{"announce", KindFull, errors.Errorf("%d targets on this host", MaxTargets)}
+	}
+	if old != nil {
+		old.Limiter.Close()
+	}
+	r.put(a)
+	return nil
+}
+
+func (r *Registrar) put(a Announcement) {
+	if r.targets == nil {
+		r.targets = map[string]*Target{}
+	}
+	queue := r.Queue
+	if queue == 0 {
+		queue = parser.DefaultQueue
+	}
+	r.targets[a.Target] = &Target{
+		Announcement: a,
+		Limiter:      &limiter.Limiter{Slots: a.Slots, Queue: queue},
+		Forwarder:    &forwarder.Forwarder{Address: a.Address, Connections: a.Connections},
+		expiresAt:    r.now().Add(LeaseTime),
+	}
+	r.signal()
+}
+
+// Leave stops new work at a target. Its requests in flight go on.
+func (r *Registrar) Leave(name string) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t := r.targets[name]
+	if t == nil {
+		return &Error{"leave", KindUnknown, errors.Errorf("no target %q on this host", name)}
+	}
+	r.stop(t)
+	return nil
+}
+
+// LeaveAll stops new work at every target, before the node itself stops.
+func (r *Registrar) LeaveAll() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, t := range r.targets {
+		r.stop(t)
+	}
+}
+
+func (r *Registrar) stop(t *Target) {
+	if t.leaving {
+		return
+	}
+	t.leaving = true
+	t.expiresAt = r.now().Add(LeaseTime)
+	t.Limiter.Close()
+	r.signal()
+}
+
+// Expire stops targets whose lease has run out, and forgets those that left.
+func (r *Registrar) Expire() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	for name, t := range r.targets {
+		if now.Before(t.expiresAt) {
+			continue
+		}
+		if !t.leaving {
+			r.stop(t)
+			continue
+		}
+		if t.Limiter.Used() == 0 {
+			t.Forwarder.Close()
+			delete(r.targets, name)
+		}
+	}
+}
+
+// Find returns a target, leaving ones included.
+func (r *Registrar) Find(name string) (*Target, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	t, ok := r.targets[name]
+	return t, ok
+}
+
+// List returns the targets that take work, sorted by name, and a channel that
+// is closed at the next change.
+func (r *Registrar) List() ([]Announcement, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Announcement
+	for _, t := range r.targets {
+		if !t.leaving {
+			out = append(out, t.Announcement)
+		}
+	}
+	slices.SortFunc(out, func(a, b Announcement) int { return strings.Compare(a.Target, b.Target) })
+	if r.changed == nil {
+		r.changed = make(chan struct{})
+	}
+	return out, r.changed
+}
+
+func (r *Registrar) signal() {
+	if r.changed != nil {
+		close(r.changed)
+	}
+	r.changed = make(chan struct{})
+}
+
+func (r *Registrar) now() time.Time {
+	if r.Now == nil {
+		return time.Now()
+	}
+	return r.Now()
+}
--- /dev/null
+++ b/process/configurer/configurer.go
@@ -0,0 +1,327 @@
+// Package configurer reads the settings of one process.
+//
+// Settings are one YAML file. They are read once, checked as a whole, and never
+// change afterwards. Every fault is reported with file, line, column and how
+// to mend it, so that `hornbeamd check` can say so without starting anything.
+//
+// # Usage
+//
+//	s, err := configurer.Load("hornbeam.yaml")
+//	if s.HasRole(configurer.RoleNode) { ... }
+package configurer
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/hornbeamrack/hornbeamrack/common/decoder"
+	"github.com/hornbeamrack/hornbeamrack/version/parser"
+)
+
+// Role is a part that a process plays.
+type Role string
+
+// The roles of a process.
+const (
+	RoleNode    Role = "node"
+	RoleControl Role = "control"
+)
+
+const (
+	// DefaultMemoryLimit is the soft limit of a process that is only a node, in bytes.
+	DefaultMemoryLimit = 128 << 20
+	// DefaultDrainTime is how long a stopping node still takes requests while the others learn of it.
+	DefaultDrainTime = 2 * time.Second
+	// DefaultStopTime bounds the wait for requests in flight at a planned stop.
+	DefaultStopTime = 30 * time.Second
+	// DefaultClaimLifetime is how long an idempotency key is remembered.
+	DefaultClaimLifetime = 24 * time.Hour
+
+	maxControlHosts = 7
+)
+
+// Kind tells why settings could not be read.
+type Kind string
+
+// The kinds of settings errors.
+const (
+	KindIO Kind = "io"
+)
+
+// Error is the only error type of this package, beside *decoder.Error for
+// faults with a place.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("configurer: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Settings are the settings of one process.
+type Settings struct {
+	Name          string       `yaml:"name"`
+	DataCentre    string       `yaml:"dataCentre"`
+	Roles         []Role       `yaml:"roles"`
+	DataFolder    string       `yaml:"dataFolder"`
+	AdminAddress  string       `yaml:"adminAddress"`
+	LogLevel      string       `yaml:"logLevel"`
+	MemoryLimitMB int          `yaml:"memoryLimitMB"`
+	StopTime      decoder.Span `yaml:"stopTime"`
+	Traces        Traces       `yaml:"traces"`
+	Node          Node         `yaml:"node"`
+	Control       Control      `yaml:"control"`
+}
+
+// Traces says where spans go.
+type Traces struct {
+	File     string  `yaml:"file"`
+	Endpoint string  `yaml:"endpoint"` // Endpoint is an OTLP collector's URL, such as http://10.0.0.9:4318/v1/traces.
+	Ratio    float64 `yaml:"ratio"`
+}
+
+// Node holds the settings of the node role.
+type Node struct {
+	EntryAddress    string       `yaml:"entryAddress"`    // EntryAddress takes callers' requests.
+	PeerAddress     string       `yaml:"peerAddress"`     // PeerAddress takes other nodes' requests.
+	AnnounceAddress string       `yaml:"announceAddress"` // AnnounceAddress takes announcements of targets on this host.
+	Control         []string     `yaml:"control"`         // Control lists the control hosts' rpcAddress.
+	Queue           int          `yaml:"queue"`
+	ClaimLifetime   decoder.Span `yaml:"claimLifetime"`
+	DrainTime       decoder.Span `yaml:"drainTime"`
+}
+
+// Control holds the settings of the control role.
+type Control struct {
+	RPCAddress      string `yaml:"rpcAddress"`
+	OperatorAddress string `yaml:"operatorAddress"`
+	Peers           []Peer `yaml:"peers"`
+	Teams           []Team `yaml:"teams"`
+}
+
+// Peer is one control host.
+type Peer struct {
+	Name    string `yaml:"name"`
+	Address string `yaml:"address"`
+}
+
+// Team is a team of operators and the hash of its token.
+type Team struct {
+	Name      string `yaml:"name"`
+	TokenHash string `yaml:"tokenHash"`
+}
+
+// HasRole reports whether the process plays a role.
+func (s Settings) HasRole(r Role) bool { return slices.Contains(s.Roles, r) }
+
+// Load reads and checks a settings file. Relative paths in it count from the
+// file's own folder.
+func Load(file string) (Settings, error) {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return Settings{}, &Error{"load", KindIO, errors.WithMessage(err, "name the settings file with --settings")}
+	}
+	s, err := Parse(file, raw)
+	if err != nil {
+		return Settings{}, err
+	}
+	folder := filepath.Dir(file)
+	if s.DataFolder != "" && !filepath.IsAbs(s.DataFolder) {
+		s.DataFolder = filepath.Join(folder, s.DataFolder)
+	}
+	if s.Traces.File != "" && !filepath.IsAbs(s.Traces.File) {
+		s.Traces.File = filepath.Join(folder, s.Traces.File)
+	}
+	return s, nil
+}
+
+// Parse checks settings and fills in defaults.
+func Parse(file string, raw []byte) (Settings, error) {
+	var s Settings
+	if err := decoder.Decode(file, raw, &s); err != nil {
+		return Settings{}, err
+	}
+	c := checker{file: file, raw: raw}
+	c.checkProcess(&s)
+	if s.HasRole(RoleNode) {
+		c.checkNode(&s)
+	}
+	if s.HasRole(RoleControl) {
+		c.checkControl(&s)
+	}
+	c.checkAddresses(s)
+	if c.err != nil {
+		return Settings{}, c.err
+	}
+	return s, nil
+}
+
+// checker keeps the first fault.
+type checker struct {
+	file string
+	raw  []byte
+	err  error
+}
+
+func (c *checker) fail(path, mend, format string, args ...any) {
+	if c.err == nil {
+		c.err = decoder.At(c.file, c.raw, path, format, args...).WithMend("%s", mend)
+	}
+}
+
+func (c *checker) checkProcess(s *Settings) {
+	if !parser.ValidName(s.Name) {
+		c.fail("$.name", "use lower-case letters, digits and hyphens, a letter first", "name %q is not valid", s.Name)
+	}
+	if !parser.ValidName(s.DataCentre) {
+		c.fail("$.dataCentre", "name the data centre that this host is in, such as bkk-1", "dataCentre %q is not valid", s.DataCentre)
+	}
+	if len(s.Roles) == 0 {
+		c.fail("$.roles", "write roles: [node], [control] or [node, control]", "the process has no role")
+	}
+	for i, r := range s.Roles {
+		if r != RoleNode && r != RoleControl {
+			c.fail(fmt.Sprintf("$.roles[%d]", i), "use node or control", "unknown role %q", r)
+		}
+		if slices.Index(s.Roles, r) != i {
+			c.fail(fmt.Sprintf("$.roles[%d]", i), "remove it", "role %q is named twice", r)
+		}
+	}
+	if !slices.Contains([]string{"", "debug", "info", "warn", "error"}, s.LogLevel) {
+		c.fail("$.logLevel", "use debug, info, warn or error", "unknown logLevel %q", s.LogLevel)
+	}
+	if s.Traces.Ratio < 0 || s.Traces.Ratio > 1 {
+		c.fail("$.traces.ratio", "use a number from 0 to 1", "ratio is %g", s.Traces.Ratio)
+	}
+	if s.MemoryLimitMB < 0 {
+		c.fail("$.memoryLimitMB", "use a number of megabytes", "memoryLimitMB is %d", s.MemoryLimitMB)
+	}
+	if s.MemoryLimitMB == 0 && !s.HasRole(RoleControl) {
+		s.MemoryLimitMB = DefaultMemoryLimit >> 20
+	}
+	if s.StopTime == 0 {
+		s.StopTime = decoder.Span(DefaultStopTime)
+	}
+}
+
+func (c *checker) checkNode(s *Settings) {
+	n := &s.Node
+	if len(n.Control) == 0 && s.HasRole(RoleControl) {
+		for _, p := range s.Control.Peers {
+			n.Control = append(n.Control, p.Address)
+		}
+	}
+	if len(n.Control) == 0 {
+		c.fail("$.node.control", "list the rpcAddress of each control host", "a node without control hosts can never be ready")
+	}
+	for i, a := range n.Control {
+		c.checkAddress(fmt.Sprintf("$.node.control[%d]", i), a)
+	}
+	if n.Queue < 0 {
+		c.fail("$.node.queue", "use a number of requests", "queue is %d", n.Queue)
+	}
+	if n.Queue == 0 {
+		n.Queue = parser.DefaultQueue
+	}
+	if n.ClaimLifetime == 0 {
+		n.ClaimLifetime = decoder.Span(DefaultClaimLifetime)
+	}
+	if n.DrainTime == 0 {
+		n.DrainTime = decoder.Span(DefaultDrainTime)
+	}
+}
+
+func (c *checker) checkControl(s *Settings) {
+	if s.DataFolder == "" {
+		c.fail("$.dataFolder", "name a folder on a disk that lasts", "a control host needs a dataFolder")
+	}
+	own := slices.IndexFunc(s.Control.Peers, func(p Peer) bool { return p.Name == s.Name })
+	switch {
+	case len(s.Control.Peers) == 0:
+		c.fail("$.control.peers", "list every control host, this one included", "the control role names no peers")
+	case len(s.Control.Peers) > maxControlHosts:
+		c.fail("$.control.peers", fmt.Sprintf("use at most %d", maxControlHosts), "%d control hosts", len(s.Control.Peers))
+	case own < 0:
+		c.fail("$.control.peers", "add this host to the list", "peers does not name %q", s.Name)
+	case s.Control.Peers[own].Address != s.Control.RPCAddress:
+		c.fail(fmt.Sprintf("$.control.peers[%d].address", own), "write the same address in both places",
+			"address %q is not this host's rpcAddress %q", s.Control.Peers[own].Address, s.Control.RPCAddress)
+	}
+	for i, p := range s.Control.Peers {
+		c.checkAddress(fmt.Sprintf("$.control.peers[%d].address", i), p.Address)
+		same := func(o Peer) bool { return o.Name == p.Name || o.Address == p.Address }
+		if slices.IndexFunc(s.Control.Peers, same) != i {
+			c.fail(fmt.Sprintf("$.control.peers[%d]", i), "give each host its own name and address", "peer %q stands twice", p.Name)
+		}
+	}
+	c.checkTeams(s.Control)
+}
+
+var tokenHash = regexp.MustCompile(`^sha256:[0-9a-f]{64}$`)
+
+func (c *checker) checkTeams(control Control) {
+	if control.OperatorAddress != "" && len(control.Teams) == 0 {
+		c.fail("$.control.operatorAddress", "add control.teams; hornbeamctl token makes a token and its hash", "operators have no team, so nobody can sign in")
+	}
+	for i, t := range control.Teams {
+		at := fmt.Sprintf("$.control.teams[%d]", i)
+		if !parser.ValidName(t.Name) {
+			c.fail(at+".name", "use lower-case letters, digits and hyphens", "team name %q is not valid", t.Name)
+		}
+		if !tokenHash.MatchString(t.TokenHash) {
+			c.fail(at+".tokenHash", "run hornbeamctl token and write its hash here", "tokenHash is not sha256: and 64 hexadecimal digits")
+		}
+		if slices.IndexFunc(control.Teams, func(o Team) bool { return o.Name == t.Name || o.TokenHash == t.TokenHash }) != i {
+			c.fail(at, "give each team its own name and token", "team %q stands twice", t.Name)
+		}
+	}
+}
+
+// place is one address that this process listens on.
+type place struct{ path, address string }
+
+// checkAddresses makes sure that everything can listen.
+func (c *checker) checkAddresses(s Settings) {
+	var places []place
+	if s.AdminAddress != "" {
+		places = append(places, place{"$.adminAddress", s.AdminAddress})
+	}
+	if s.HasRole(RoleNode) {
+		places = append(places, place{"$.node.entryAddress", s.Node.EntryAddress},
+			place{"$.node.peerAddress", s.Node.PeerAddress}, place{"$.node.announceAddress", s.Node.AnnounceAddress})
+	}
+	if s.HasRole(RoleControl) {
+		places = append(places, place{"$.control.rpcAddress", s.Control.RPCAddress})
+		if s.Control.OperatorAddress != "" {
+			places = append(places, place{"$.control.operatorAddress", s.Control.OperatorAddress})
+		}
+	}
+	for i, p := range places {
+		c.checkAddress(p.path, p.address)
+		first := slices.IndexFunc(places, func(o place) bool { return o.address == p.address })
+		if first != i {
+			c.fail(p.path, "use another port", "address %s is used by %s already", p.address, strings.TrimPrefix(places[first].path, "$."))
+		}
+	}
+}
+
+func (c *checker) checkAddress(path, address string) {
+	host, port, err := net.SplitHostPort(address)
+	n, portErr := strconv.Atoi(port)
+	if err != nil || net.ParseIP(host) == nil || portErr != nil || n < 1 || n > 65535 {
+		c.fail(path, "write IP:PORT, such as 10.0.0.1:7000", "%q is not an address", address)
+	}
+}
--- /dev/null
+++ b/process/controller/controller.go
@@ -0,0 +1,436 @@
+// Package controller runs the control role: it agrees with the other control
+// hosts on the configuration and the claims, and serves nodes and operators.
+//
+// Two groups are replicated over the same hosts, each with its own log, leader
+// and lease: the configuration with the endpoints, and the claims on
+// idempotency keys. A busy configuration cannot hold up a deposit, and a claim
+// cannot hold up an edit.
+//
+// # Usage
+//
+//	c := &controller.Controller{Name: "control-1", RPCAddress: "10.0.0.1:7000", ...}
+//	err := c.Open()
+//	err = c.Run(ctx)
+//
+// Lock order: sightings.mu, then nothing; batcher.mu, then nothing. No lock is
+// held while a group or another host is asked.
+package controller
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/hornbeamrack/hornbeamrack/common/encoder"
+	"github.com/hornbeamrack/hornbeamrack/connection/messenger"
+	"github.com/hornbeamrack/hornbeamrack/process/recorder"
+	"github.com/hornbeamrack/hornbeamrack/process/replicator"
+	"github.com/hornbeamrack/hornbeamrack/request/claimer"
+	"github.com/hornbeamrack/hornbeamrack/version/applier"
+	"github.com/hornbeamrack/hornbeamrack/version/differ"
+)
+
+const (
+	peerTimeout     = time.Second
+	handOverTimeout = time.Second
+	commandTimeout  = 600 * time.Millisecond
+)
+
+// Kind tells what went wrong.
+type Kind string
+
+// The kinds of controller errors.
+const (
+	KindDisk      Kind = "disk"
+	KindListen    Kind = "listen"
+	KindNoLeader  Kind = "noLeader"
+	KindUncertain Kind = "uncertain"
+	KindEncoding  Kind = "encoding"
+	KindJoin      Kind = "join"
+)
+
+// Error is the only error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("controller: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Peer is one control host as the settings name it.
+type Peer struct {
+	Name    string
+	Address string
+}
+
+// Controller is one control host. Exported fields are set before Open.
+type Controller struct {
+	Name       string
+	DataFolder string
+	RPCAddress string
+	Operators  string // Operators is the address of the operators' API; empty serves none.
+	Peers      []Peer // Peers are the control hosts that the groups begin with, this one included.
+	Teams      []Team
+	Log        *log.Logger
+	Wrap       func(net.Conn) net.Conn // Wrap, when set, sees each connection, for counting.
+
+	identity Identity
+	pool     *messenger.Pool
+	members  [2]*member
+	state    *applier.Applier
+	register *claimer.Register
+	confirm  [2]*confirmer
+	sight    sightings
+	batch    batcher
+	target   atomic.Pointer[targetHave]
+	listener net.Listener
+	ready    atomic.Bool
+	halted   atomic.Bool
+	tasks    conc.WaitGroup
+	conns    connections
+}
+
+// member is this host's part in one group.
+type member struct {
+	group  *replicator.Group
+	sender *sender
+}
+
+// The places of the groups in members.
+const (
+	configPlace = iota
+	claimsPlace
+)
+
+// targetHave caches the digests of a state.
+type targetHave struct {
+	version, revision uint64
+	have              differ.Have
+}
+
+// Open reads the disk and starts to listen. It does not wait for other hosts.
+func (c *Controller) Open() error {
+	folder := recorder.Folder{Path: c.DataFolder}
+	if err := folder.Make(); err != nil {
+		return &Error{"open", KindDisk, err}
+	}
+	identity, err := loadIdentity(folder, c.Name)
+	if err != nil {
+		return err
+	}
+	c.identity = identity
+	c.pool = &messenger.Pool{Preface: messenger.PrefacePeer, MaxFrame: messenger.MaxPeerFrame, Wrap: c.Wrap}
+	c.state = &applier.Applier{}
+	c.register = &claimer.Register{}
+	c.listener, err = net.Listen("tcp", c.RPCAddress)
+	if err != nil {
+		return &Error{"open", KindListen, err}
+	}
+	c.members[configPlace] = c.newMember(messenger.GroupConfig, c.state)
+	c.members[claimsPlace] = c.newMember(messenger.GroupClaims, c.register)
+	for i, name := range []string{messenger.GroupConfig, messenger.GroupClaims} {
+		c.confirm[i] = &confirmer{run: func(ctx context.Context) error { return c.confirmNow(ctx, name) }}
+	}
+	c.batch.run = c.commitAnnouncements
+	return nil
+}
+
+func (c *Controller) newMember(name string, a replicator.Applier) *member {
+	s := &sender{pool: c.pool, group: name, known: c.addressOf}
+	return &member{sender: s, group: &replicator.Group{
+		Name: name, ID: c.identity.ID, Applier: a, Sender: s, Seed: seedOf(c.identity.ID),
+		Recorder: &recorder.Recorder{Disk: recorder.Folder{Path: filepath.Join(c.DataFolder, name)}},
+	}}
+}
+
+func seedOf(id string) uint64 {
+	var b [8]byte
+	copy(b[:], id)
+	return binary.BigEndian.Uint64(b[:])
+}
+
+// Run serves until ctx ends, hands over the lead, and stops.
+func (c *Controller) Run(ctx context.Context) error {
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	c.tasks.Go(func() { c.serve(work) })
+	defer c.stop(cancel)
+	if err := c.join(ctx); err != nil {
+		if ctx.Err() != nil {
+			return nil
+		}
+		return err
+	}
+	for _, m := range c.members {
+		if err := m.open(c.identity.Initial); err != nil {
+			return err
+		}
+	}
+	c.ready.Store(true)
+	for _, m := range c.members {
+		c.tasks.Go(func() { c.runGroup(work, m) })
+		c.tasks.Go(func() { m.sender.run(work) })
+	}
+	c.tasks.Go(func() { c.batch.loop(work) })
+	c.tasks.Go(func() { c.watchNodes(work) })
+	c.tasks.Go(func() { c.decide(work) })
+	if c.Operators != "" {
+		c.tasks.Go(func() { c.serveOperators(work) })
+	}
+	<-ctx.Done()
+	c.handOver()
+	return nil
+}
+
+func (m *member) open(initial replicator.Membership) error {
+	folder, ok := m.group.Recorder.Disk.(recorder.Folder)
+	if ok {
+		if err := folder.Make(); err != nil {
+			return &Error{"open", KindDisk, err}
+		}
+	}
+	return m.group.Open(initial)
+}
+
+// runGroup runs a group until the end. A failed disk ends the group's part in
+// the agreement, but not the process, which may carry a node as well.
+func (c *Controller) runGroup(ctx context.Context, m *member) {
+	if err := m.group.Run(ctx); err != nil {
+		c.halted.Store(true)
+		c.Log.Error("group stopped; free the disk or replace this control host", "group", m.group.Name, "err", err)
+	}
+}
+
+// handOver gives away the lead, so that a planned stop costs no election.
+func (c *Controller) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	for _, m := range c.members {
+		if m.group.HandOver(ctx) != nil {
+			continue
+		}
+		for ctx.Err() == nil && m.group.Status().Role == replicator.RoleLeader {
+			time.Sleep(tick)
+		}
+	}
+}
+
+const tick = 10 * time.Millisecond
+
+func (c *Controller) stop(cancel context.CancelFunc) {
+	cancel()
+	_ = c.listener.Close()
+	c.conns.closeAll()
+	c.pool.Close()
+	c.tasks.Wait()
+}
+
+// Ready reports whether this host knows a leader of both groups and its disk
+// works.
+func (c *Controller) Ready() bool {
+	if !c.ready.Load() || c.halted.Load() {
+		return false
+	}
+	for _, m := range c.members {
+		if m.group.Status().Leader == "" {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Controller) place(group string) (*member, int, bool) {
+	switch group {
+	case messenger.GroupConfig:
+		return c.members[configPlace], configPlace, true
+	case messenger.GroupClaims:
+		return c.members[claimsPlace], claimsPlace, true
+	}
+	return nil, 0, false
+}
+
+// addressOf finds a member's address in any membership that this host knows.
+func (c *Controller) addressOf(id string) string {
+	for _, m := range c.members {
+		if !c.ready.Load() {
+			break
+		}
+		if mem, ok := m.group.Status().Membership.Find(id); ok {
+			return mem.Address
+		}
+	}
+	mem, _ := c.identity.Initial.Find(id)
+	return mem.Address
+}
+
+// redirect returns where the leader of a group is.
+func (c *Controller) redirect(m *member) messenger.Redirect {
+	s := m.group.Status()
+	if s.Leader == "" || s.Leader == c.identity.ID {
+		return messenger.Redirect{NotLeader: true}
+	}
+	return messenger.Redirect{NotLeader: true, Leader: c.addressOf(s.Leader)}
+}
+
+// command proposes a command here; NotLeader in the reply means that nothing
+// was proposed.
+func (c *Controller) command(ctx context.Context, group string, command []byte) messenger.CommandReply {
+	m, _, ok := c.place(group)
+	if !ok || !c.ready.Load() {
+		return messenger.CommandReply{Redirect: messenger.Redirect{NotLeader: true}}
+	}
+	value, err := m.group.Propose(ctx, command)
+	switch {
+	case replicator.IsKind(err, replicator.KindNotLeader), replicator.IsKind(err, replicator.KindLost),
+		replicator.IsKind(err, replicator.KindBusy), replicator.IsKind(err, replicator.KindStopped):
+		return messenger.CommandReply{Redirect: c.redirect(m)}
+	case err != nil:
+		return messenger.CommandReply{Failure: err.Error()}
+	}
+	b, err := encoder.Marshal(value)
+	if err != nil {
+		return messenger.CommandReply{Failure: err.Error()}
+	}
+	return messenger.CommandReply{Result: b}
+}
+
+// propose runs a command of the configuration on whichever host leads, and
+// decodes the result.
+func (c *Controller) propose(ctx context.Context, cmd applier.Command) (applier.Result, error) {
+	b, err := applier.Encode(cmd)
+	if err != nil {
+		return applier.Result{}, &Error{"propose", KindEncoding, err}
+	}
+	uncertain := false
+	for ctx.Err() == nil {
+		reply, err := c.commandAnywhere(ctx, b)
+		if err != nil || reply.Failure != "" {
+			uncertain = true
+		}
+		if err == nil && !reply.NotLeader && reply.Failure == "" {
+			var r applier.Result
+			if err := encoder.Unmarshal(reply.Result, &r); err != nil {
+				return r, &Error{"propose", KindEncoding, err}
+			}
+			return r, nil
+		}
+		pauseFor(ctx, 3*tick)
+	}
+	if uncertain {
+		return applier.Result{}, &Error{"propose", KindUncertain, errors.New("no answer in time; send the same edit again")}
+	}
+	return applier.Result{}, &Error{"propose", KindNoLeader, errors.New("no control host leads; nothing was changed")}
+}
+
+// commandAnywhere asks this host first, then the leader that it knows.
+func (c *Controller) commandAnywhere(ctx context.Context, command []byte) (messenger.CommandReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	reply := c.command(ctx, messenger.GroupConfig, command)
+	if !reply.NotLeader || reply.Leader == "" {
+		return reply, nil
+	}
+	leader := reply.Leader
+	reply = messenger.CommandReply{}
+	err := c.pool.Get(leader).Call(ctx, messenger.MethodCommand, messenger.CommandArgs{Group: messenger.GroupConfig, Command: command}, &reply)
+	return reply, err
+}
+
+func pauseFor(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// confirmNow makes sure that this host's state of a group holds everything
+// that was accepted before the call.
+func (c *Controller) confirmNow(ctx context.Context, group string) error {
+	m, _, _ := c.place(group)
+	_, err := m.group.Confirm(ctx)
+	if err == nil {
+		return nil
+	}
+	r := c.redirect(m)
+	if r.Leader == "" {
+		return &Error{"confirm", KindNoLeader, errors.New("no leader is known")}
+	}
+	var reply messenger.ConfirmReply
+	if err := c.pool.Get(r.Leader).Call(ctx, messenger.MethodConfirm, messenger.ConfirmArgs{Group: group}, &reply); err != nil {
+		return &Error{"confirm", KindNoLeader, err}
+	}
+	if reply.NotLeader {
+		return &Error{"confirm", KindNoLeader, errors.Errorf("%s does not lead", r.Leader)}
+	}
+	return m.group.WaitApplied(ctx, reply.Index)
+}
+
+// confirmer serves all who wait for a confirmation with one round: whoever
+// comes during a round waits for the next, since the round may have begun
+// before the call.
+type confirmer struct {
+	run func(ctx context.Context) error
+
+	mu      sync.Mutex
+	running bool
+	next    *round
+}
+
+type round struct {
+	done chan struct{}
+	err  error
+}
+
+// wait returns once a round that began after the call has ended.
+func (f *confirmer) wait(ctx context.Context) error {
+	f.mu.Lock()
+	if f.next == nil {
+		f.next = &round{done: make(chan struct{})}
+	}
+	mine := f.next
+	if !f.running {
+		f.running = true
+		go f.loop()
+	}
+	f.mu.Unlock()
+	select {
+	case <-mine.done:
+		return mine.err
+	case <-ctx.Done():
+		return &Error{"confirm", KindNoLeader, ctx.Err()}
+	}
+}
+
+func (f *confirmer) loop() {
+	for {
+		f.mu.Lock()
+		r := f.next
+		f.next = nil
+		if r == nil {
+			f.running = false
+			f.mu.Unlock()
+			return
+		}
+		f.mu.Unlock()
+		ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+		r.err = f.run(ctx)
+		cancel()
+		close(r.done)
+	}
+}
--- /dev/null
+++ b/process/controller/methods.go
@@ -0,0 +1,183 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/hornbeamrack/hornbeamrack/connection/messenger"
+	"github.com/hornbeamrack/hornbeamrack/process/replicator"
+	"github.com/hornbeamrack/hornbeamrack/version/applier"
+	"github.com/hornbeamrack/hornbeamrack/version/differ"
+)
+
+const (
+	// maxWait bounds how long a Sync waits for a change.
+	maxWait        = 3 * time.Second
+	announceWindow = 20 * time.Millisecond
+)
+
+// nodeMethods are what nodes may call.
+type nodeMethods struct{ c *Controller }
+
+// Sync answers once there is something new for the node, or after its wait.
+func (m *nodeMethods) Sync(args messenger.SyncArgs, reply *messenger.SyncReply) error {
+	c := m.c
+	if !c.ready.Load() {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), min(args.Wait, maxWait)+peerTimeout)
+	defer cancel()
+	// The confirmation must begin after the node's call, or this host could be
+	// one that a partition has left behind.
+	if err := c.confirm[configPlace].wait(ctx); err != nil {
+		return nil
+	}
+	reply.Confirmed = true
+	until := time.Now().Add(min(args.Wait, maxWait))
+	for {
+		state, changed := c.state.Changed()
+		c.sight.saw(args.Report, state.Version)
+		c.observe(args.Report.Evidence)
+		args.Report.Evidence = nil
+		reply.Update = differ.Make(state, c.targetOf(state), args.Have)
+		left := time.Until(until)
+		if !upToDate(reply.Update, args.Have) || left <= 0 {
+			return nil
+		}
+		wait, cancel := context.WithTimeout(ctx, left)
+		select {
+		case <-changed:
+		case <-wait.Done():
+		}
+		cancel()
+	}
+}
+
+func upToDate(u differ.Update, have differ.Have) bool {
+	return u.Version == have.Version && u.Digest == have.Digest &&
+		u.Revision == have.Revision && u.EndpointsHash == have.EndpointsHash
+}
+
+// targetOf returns the digests of a state; they are worked out once for each.
+func (c *Controller) targetOf(s applier.State) differ.Have {
+	if t := c.target.Load(); t != nil && t.version == s.Version && t.revision == s.Revision {
+		return t.have
+	}
+	have := differ.HoldingOf(s).Have()
+	c.target.Store(&targetHave{s.Version, s.Revision, have})
+	return have
+}
+
+// Command proposes a command if this host leads the group.
+func (m *nodeMethods) Command(args messenger.CommandArgs, reply *messenger.CommandReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
+	defer cancel()
+	*reply = m.c.command(ctx, args.Group, args.Command)
+	return nil
+}
+
+// Announce takes in a node's list if this host leads. Lists that come close
+// together share one command.
+func (m *nodeMethods) Announce(args messenger.AnnounceArgs, reply *messenger.AnnounceReply) error {
+	c := m.c
+	config := c.members[configPlace]
+	if !c.ready.Load() || config.group.Status().Role != replicator.RoleLeader {
+		if c.ready.Load() {
+			reply.Redirect = c.redirect(config)
+		}
+		reply.NotLeader = true
+		return nil
+	}
+	if err := c.batch.add(args.Announcement); err != nil {
+		reply.Failure = err.Error()
+	}
+	return nil
+}
+
+// peerMethods are what other control hosts may call.
+type peerMethods struct{ c *Controller }
+
+// Identify tells who this host is.
+func (m *peerMethods) Identify(_ messenger.Empty, reply *messenger.IdentifyReply) error {
+	*reply = m.c.identify()
+	return nil
+}
+
+// Deliver takes in messages of a group.
+func (m *peerMethods) Deliver(args messenger.DeliverArgs, _ *messenger.Empty) error {
+	mem, _, ok := m.c.place(args.Group)
+	if !ok || !m.c.ready.Load() {
+		return errors.New("not ready")
+	}
+	for _, e := range args.Envelopes {
+		mem.group.Deliver(e)
+	}
+	return nil
+}
+
+// Confirm gives a confirmed index if this host leads.
+func (m *peerMethods) Confirm(args messenger.ConfirmArgs, reply *messenger.ConfirmReply) error {
+	mem, _, ok := m.c.place(args.Group)
+	if !ok || !m.c.ready.Load() {
+		reply.NotLeader = true
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	index, err := mem.group.Confirm(ctx)
+	reply.Index, reply.NotLeader = index, err != nil
+	return nil
+}
+
+// Seen takes in what a follower saw of nodes.
+func (m *peerMethods) Seen(args messenger.SeenArgs, _ *messenger.Empty) error {
+	version := m.c.state.State().Version
+	for _, s := range args.Sightings {
+		m.c.sight.heard(s, version)
+	}
+	return nil
+}
+
+// Nodes lists the nodes if this host leads.
+func (m *peerMethods) Nodes(_ messenger.Empty, reply *messenger.NodesReply) error {
+	reply.NotLeader = !m.c.leads()
+	reply.Sightings = m.c.sight.list()
+	return nil
+}
+
+// Member changes the members of a group if this host leads it.
+func (m *peerMethods) Member(args messenger.MemberArgs, reply *messenger.CommandReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	*reply = m.c.changeMember(ctx, args)
+	return nil
+}
+
+func (c *Controller) changeMember(ctx context.Context, args messenger.MemberArgs) messenger.CommandReply {
+	mem, _, ok := c.place(args.Group)
+	if !ok || !c.ready.Load() {
+		return messenger.CommandReply{Redirect: messenger.Redirect{NotLeader: true}}
+	}
+	var err error
+	switch args.Action {
+	case messenger.MemberAdd:
+		err = mem.group.AddLearner(ctx, args.Member)
+	case messenger.MemberPromote:
+		err = mem.group.Promote(ctx, args.Member.ID)
+	case messenger.MemberRemove:
+		err = mem.group.Remove(ctx, args.Member.ID)
+	}
+	switch {
+	case replicator.IsKind(err, replicator.KindNotLeader):
+		return messenger.CommandReply{Redirect: c.redirect(mem)}
+	case err != nil:
+		return messenger.CommandReply{Failure: err.Error()}
+	}
+	return messenger.CommandReply{}
+}
+
+func (c *Controller) leads() bool {
+	return c.ready.Load() && c.members[configPlace].group.Status().Role == replicator.RoleLeader
+}
--- /dev/null
+++ b/process/proxier/proxier.go
@@ -0,0 +1,267 @@
+// Package proxier runs the node role: the process beside the targets of one
+// host.
+//
+// It serves callers at the entry address, other nodes at the peer address, and
+// the targets of its own host at the announce address, and keeps its table
+// current through a subscriber.
+//
+// A planned stop cuts nothing: the node's targets are taken out of every table
+// first, callers are told to open new connections elsewhere, and only when no
+// request is in flight do the listeners close.
+//
+// # Usage
+//
+//	p := &proxier.Proxier{Settings: settings, Log: logger, Tracer: tracer}
+//	err := p.Open()
+//	err = p.Run(ctx)
+package proxier
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/gofiber/fiber/v3"
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"github.com/hornbeamrack/hornbeamrack/connection/messenger"
+	"github.com/hornbeamrack/hornbeamrack/connection/registrar"
+	"github.com/hornbeamrack/hornbeamrack/process/configurer"
+	"github.com/hornbeamrack/hornbeamrack/process/subscriber"
+	"github.com/hornbeamrack/hornbeamrack/process/tracer"
+	"github.com/hornbeamrack/hornbeamrack/request/executor"
+	"github.com/hornbeamrack/hornbeamrack/request/receiver"
+	"github.com/hornbeamrack/hornbeamrack/version/compiler"
+)
+
+const (
+	maxRequestBody  = 4 << 20
+	maxHeaderBytes  = 16 << 10
+	callerReadTime  = 30 * time.Second
+	callerIdleTime  = 75 * time.Second
+	peerIdleTime    = 60 * time.Second
+	maxConcurrency  = 4096
+	maxConnsPerIP   = 2048
+	announceTimeout = 5 * time.Second
+	maxAnnounceBody = 16 << 10
+	drainCheck      = 20 * time.Millisecond
+	leaveTimeout    = 2 * time.Second
+)
+
+// Kind tells why the node could not run.
+type Kind string
+
+// The kinds of proxier errors.
+const (
+	KindListen Kind = "listen"
+)
+
+// Error is the only error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("proxier: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Proxier is one node. Exported fields are set before Open.
+type Proxier struct {
+	Settings configurer.Settings
+	Log      *log.Logger
+	Tracer   *tracer.Tracer
+	Wrap     func(net.Conn) net.Conn // Wrap, when set, sees each connection to control hosts, for counting.
+
+	keeper     compiler.Keeper
+	registrar  *registrar.Registrar
+	executor   *executor.Executor
+	receiver   *receiver.Receiver
+	subscriber *subscriber.Subscriber
+	pool       *messenger.Pool
+	listeners  [3]net.Listener
+	draining   atomic.Bool
+}
+
+// The places of the listeners.
+const (
+	entryPlace = iota
+	peerPlace
+	announcePlace
+)
+
+// Open builds the node and starts to listen.
+func (p *Proxier) Open() error {
+	n := p.Settings.Node
+	for i, address := range []string{n.EntryAddress, n.PeerAddress, n.AnnounceAddress} {
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return &Error{"open", KindListen, err}
+		}
+		p.listeners[i] = l
+	}
+	p.pool = &messenger.Pool{Preface: messenger.PrefaceNode, MaxFrame: messenger.MaxNodeFrame, Wrap: p.Wrap}
+	client := &messenger.Client{Addresses: n.Control, Pool: p.pool}
+	p.registrar = &registrar.Registrar{Queue: n.Queue}
+	p.executor = &executor.Executor{
+		Targets: p.registrar, Claims: messenger.Claims{Client: client}, Tracer: p.Tracer, Lifetime: n.ClaimLifetime.Duration(),
+	}
+	p.receiver = &receiver.Receiver{Node: p.Settings.Name, Tables: &p.keeper, Owner: p.executor, Tracer: p.Tracer}
+	p.subscriber = &subscriber.Subscriber{
+		Node: p.Settings.Name, DataCentre: p.Settings.DataCentre, Address: n.PeerAddress, Addresses: n.Control,
+		Keeper: &p.keeper, Registrar: p.registrar, Client: client, Log: p.Log, Wrap: p.Wrap,
+	}
+	return nil
+}
+
+// Ready reports whether the node serves requests.
+func (p *Proxier) Ready() bool { return !p.draining.Load() && p.subscriber.Ready() }
+
+// Run serves until ctx ends, then stops without cutting a request.
+func (p *Proxier) Run(ctx context.Context) error {
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	entry := p.server(p.serveEntry, callerIdleTime)
+	peer := p.server(p.executor.Handle, peerIdleTime)
+	announce := p.announceApp()
+	var servers, tasks conc.WaitGroup
+	servers.Go(func() { _ = entry.Serve(p.listeners[entryPlace]) })
+	servers.Go(func() { _ = peer.Serve(p.listeners[peerPlace]) })
+	servers.Go(func() {
+		_ = announce.Listener(p.listeners[announcePlace], fiber.ListenConfig{DisableStartupMessage: true})
+	})
+	tasks.Go(func() { _ = p.subscriber.Run(work) })
+	<-ctx.Done()
+	p.drain()
+	stop, cancelStop := context.WithTimeout(context.Background(), p.Settings.StopTime.Duration())
+	defer cancelStop()
+	_ = entry.ShutdownWithContext(stop)
+	_ = peer.ShutdownWithContext(stop)
+	p.executor.Wait()
+	_ = announce.ShutdownWithContext(stop)
+	servers.Wait()
+	cancel()
+	tasks.Wait()
+	p.pool.Close()
+	return nil
+}
+
+func (p *Proxier) server(handler fasthttp.RequestHandler, idle time.Duration) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler: handler, ReadTimeout: callerReadTime, IdleTimeout: idle,
+		MaxRequestBodySize: maxRequestBody, ReadBufferSize: maxHeaderBytes,
+		Concurrency: maxConcurrency, MaxConnsPerIP: maxConnsPerIP,
+		NoDefaultServerHeader: true, CloseOnShutdown: true, SecureErrorLogMessage: true,
+		Logger: quiet{}, TCPKeepalive: true,
+	}
+}
+
+// quiet drops the server's lines about single connections; they are counted.
+type quiet struct{}
+
+// Printf implements fasthttp.Logger.
+func (quiet) Printf(string, ...any) {}
+
+func (p *Proxier) serveEntry(ctx *fasthttp.RequestCtx) {
+	p.receiver.Handle(ctx)
+	if p.draining.Load() {
+		ctx.Response.Header.SetConnectionClose()
+	}
+}
+
+// drain takes the node's targets out of every table, and waits until no
+// request is in flight.
+func (p *Proxier) drain() {
+	p.draining.Store(true)
+	until := time.Now().Add(p.Settings.Node.DrainTime.Duration())
+	leave, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if err := p.subscriber.Leave(leave); err != nil {
+		p.Log.Warn("could not tell a control host of the stop; other nodes will notice", "err", err)
+	}
+	// Requests that other nodes send meanwhile are still served.
+	time.Sleep(time.Until(until))
+	p.registrar.LeaveAll()
+	limit := time.Now().Add(p.Settings.StopTime.Duration())
+	for time.Now().Before(limit) && (p.executor.InFlight() > 0 || p.receiver.InFlight() > 0) {
+		time.Sleep(drainCheck)
+	}
+}
+
+// announceApp serves the targets of this host.
+func (p *Proxier) announceApp() *fiber.App {
+	app := fiber.New(fiber.Config{BodyLimit: maxAnnounceBody, ReadTimeout: announceTimeout, IdleTimeout: time.Minute})
+	app.Use(sameHost)
+	app.Post("/v1/announce", p.announce)
+	app.Post("/v1/leave", p.leave)
+	return app
+}
+
+// sameHost refuses everyone but processes on this host.
+func sameHost(ctx fiber.Ctx) error {
+	remote := ctx.RequestCtx().RemoteIP()
+	local, ok := ctx.RequestCtx().LocalAddr().(*net.TCPAddr)
+	if remote.IsLoopback() || (ok && remote.Equal(local.IP)) {
+		return ctx.Next()
+	}
+	return fiber.NewError(fiber.StatusForbidden, "targets announce themselves on their own host")
+}
+
+// announce takes in a target or renews its lease. The answer tells the target
+// when to renew.
+func (p *Proxier) announce(ctx fiber.Ctx) error {
+	var a registrar.Announcement
+	if err := json.Unmarshal(ctx.Body(), &a); err != nil {
+		return fiber.NewError(fiber.StatusBadRequest, "request body: "+err.Error())
+	}
+	if err := p.registrar.Announce(a); err != nil {
+		return announceFailure(err)
+	}
+	return ctx.JSON(struct {
+		RenewBy time.Time `json:"renewBy"`
+	}{time.Now().Add(registrar.LeaseTime / 3)})
+}
+
+// leave stops new work at a target; the answer tells how much is in flight.
+func (p *Proxier) leave(ctx fiber.Ctx) error {
+	var a struct {
+		Target string `json:"target"`
+	}
+	if err := json.Unmarshal(ctx.Body(), &a); err != nil {
+		return fiber.NewError(fiber.StatusBadRequest, "request body: "+err.Error())
+	}
+	if err := p.registrar.Leave(a.Target); err != nil {
+		return announceFailure(err)
+	}
+	inFlight := 0
+	if t, ok := p.registrar.Find(a.Target); ok {
+		inFlight = t.Limiter.Used()
+	}
+	return ctx.JSON(struct {
+		InFlight int `json:"inFlight"`
+	}{inFlight})
+}
+
+func announceFailure(err error) error {
+	var known *registrar.Error
+	if !errors.As(err, &known) {
+		return err
+	}
+	status := fiber.StatusBadRequest
+	switch known.Kind {
+	case registrar.KindUnknown:
+		status = fiber.StatusNotFound
+	case registrar.KindFull:
+		status = fiber.StatusTooManyRequests
+	}
+	return fiber.NewError(status, err.Error())
+}
--- /dev/null
+++ b/process/replicator/election.go
@@ -0,0 +1,261 @@
+package replicator
+
+import (
+	"slices"
+	"time"
+
+	"github.com/hornbeamrack/hornbeamrack/common/asserter"
+	"github.com/hornbeamrack/hornbeamrack/process/recorder"
+)
+
+// Step takes one message in. now must never go back.
+func (c *Core) Step(now time.Time, e Envelope) {
+	c.now = now
+	if e.To != c.ID {
+		return // The sender means the host's earlier disk.
+	}
+	if req, ok := e.Message.(VoteRequest); ok {
+		c.stepVoteRequest(e, req)
+		return
+	}
+	if reply, ok := e.Message.(VoteReply); ok && reply.Pre && reply.Granted {
+		c.stepVoteReply(e, reply)
+		return
+	}
+	if e.Term > c.hard.Term {
+		c.becomeFollower(e.Term, "")
+	}
+	if e.Term < c.hard.Term {
+		c.refuseStale(e)
+		return
+	}
+	switch m := e.Message.(type) {
+	case VoteReply:
+		c.stepVoteReply(e, m)
+	case AppendRequest:
+		c.stepAppend(e, m)
+	case AppendReply:
+		c.stepAppendReply(e, m)
+	case SnapshotRequest:
+		c.stepSnapshot(e, m)
+	case TransferRequest:
+		if e.From == c.leader && c.Membership().IsVoter(c.ID) {
+			c.campaign(false, true)
+		}
+	}
+}
+
+// refuseStale tells a leader of an earlier term that its time is over.
+func (c *Core) refuseStale(e Envelope) {
+	switch m := e.Message.(type) {
+	case AppendRequest:
+		c.send(e.From, AppendReply{Rejected: true, SentAt: m.SentAt})
+	case SnapshotRequest:
+		c.send(e.From, AppendReply{Rejected: true, SentAt: m.SentAt})
+	}
+}
+
+func (c *Core) becomeFollower(term uint64, leader string) {
+	if term > c.hard.Term {
+		c.setHard(term, "")
+	}
+	c.role = RoleFollower
+	c.leader = leader
+	c.votes, c.peers = nil, nil
+	c.transferTo = ""
+	c.resetElection()
+}
+
+// campaign asks for votes. With pre set the term stays as it is, so a member
+// that a partition has left alone does not disturb the group on its return.
+func (c *Core) campaign(pre, transfer bool) {
+	c.leader = ""
+	c.resetElection()
+	c.votes = map[string]bool{c.ID: true}
+	c.role = RolePreCandidate
+	if !pre {
+		c.role = RoleCandidate
+		c.setHard(c.hard.Term+1, c.ID)
+	}
+	lastTerm, _ := c.termAt(c.last())
+	for _, id := range c.Membership().Voters() {
+		if id != c.ID {
+			c.send(id, VoteRequest{LastIndex: c.last(), LastTerm: lastTerm, Pre: pre, Transfer: transfer})
+		}
+	}
+	c.countVotes()
+}
+
+// stepVoteRequest gives a vote only if no leader was heard from lately, so
+// that a leader's lease holds until its deadline.
+func (c *Core) stepVoteRequest(e Envelope, req VoteRequest) {
+	led := c.role == RoleLeader && c.transferTo == ""
+	if !req.Transfer && (led || c.now.Before(c.stickyTill)) {
+		return
+	}
+	if req.Pre {
+		granted := e.Term >= c.hard.Term && c.upToDate(req)
+		c.send(e.From, VoteReply{Pre: true, Granted: granted})
+		return
+	}
+	if e.Term < c.hard.Term {
+		c.send(e.From, VoteReply{})
+		return
+	}
+	if e.Term > c.hard.Term {
+		c.becomeFollower(e.Term, "")
+	}
+	granted := (c.hard.Vote == "" || c.hard.Vote == e.From) && c.upToDate(req)
+	if granted {
+		c.setHard(e.Term, e.From)
+		c.resetElection()
+	}
+	c.send(e.From, VoteReply{Granted: granted})
+}
+
+func (c *Core) upToDate(req VoteRequest) bool {
+	lastTerm, _ := c.termAt(c.last())
+	if req.LastTerm != lastTerm {
+		return req.LastTerm > lastTerm
+	}
+	return req.LastIndex >= c.last()
+}
+
+func (c *Core) stepVoteReply(e Envelope, reply VoteReply) {
+	wanted := RoleCandidate
+	if reply.Pre {
+		wanted = RolePreCandidate
+	}
+	if c.role != wanted || !reply.Granted {
+		return
+	}
+	c.votes[e.From] = true
+	c.countVotes()
+}
+
+func (c *Core) countVotes() {
+	n := 0
+	for _, id := range c.Membership().Voters() {
+		if c.votes[id] {
+			n++
+		}
+	}
+	if n < c.Membership().Quorum() {
+		return
+	}
+	if c.role == RolePreCandidate {
+		c.campaign(false, false)
+		return
+	}
+	c.becomeLeader()
+}
+
+func (c *Core) becomeLeader() {
+	c.role = RoleLeader
+	c.leader = c.ID
+	c.peers = map[string]*progress{}
+	c.beatAt = c.now
+	c.electedAt = c.now
+	c.syncPeers()
+	// The first entry of the own term is what lets earlier ones be committed.
+	c.append(recorder.Entry{Index: c.last() + 1, Term: c.hard.Term, Kind: recorder.EntryNoop})
+}
+
+// syncPeers makes one progress for each other member.
+func (c *Core) syncPeers() {
+	m := c.Membership()
+	for _, mem := range m.Members {
+		if _, ok := c.peers[mem.ID]; !ok && mem.ID != c.ID {
+			c.peers[mem.ID] = &progress{next: c.last() + 1}
+		}
+	}
+	for id := range c.peers {
+		if _, ok := m.Find(id); !ok {
+			delete(c.peers, id)
+		}
+	}
+}
+
+func (c *Core) followLeader(leader string) {
+	same := c.leader == "" || c.leader == leader
+	asserter.That(same, "oneLeaderPerTerm", "term %d: %s and %s", c.hard.Term, c.leader, leader)
+	if c.role != RoleFollower {
+		c.becomeFollower(c.hard.Term, leader)
+	}
+	c.leader = leader
+	c.stickyTill = c.now.Add(c.ElectionTimeout)
+	c.resetElection()
+}
+
+func (c *Core) stepAppend(e Envelope, req AppendRequest) {
+	c.followLeader(e.From)
+	if req.PrevIndex < c.snapshot.Index {
+		// The request overlaps what the snapshot covers, which is committed.
+		c.send(e.From, AppendReply{Match: c.commit, SentAt: req.SentAt})
+		return
+	}
+	if t, ok := c.termAt(req.PrevIndex); !ok || t != req.PrevTerm {
+		hint := min(c.last(), req.PrevIndex-1)
+		if ok {
+			hint = c.commit
+		}
+		c.send(e.From, AppendReply{Match: hint, Rejected: true, SentAt: req.SentAt})
+		return
+	}
+	for _, entry := range req.Entries {
+		if t, ok := c.termAt(entry.Index); ok && t == entry.Term {
+			continue
+		}
+		if entry.Index <= c.last() && !c.truncate(entry.Index) {
+			return
+		}
+		c.append(entry)
+	}
+	match := req.PrevIndex + uint64(len(req.Entries))
+	c.commit = max(c.commit, min(req.Commit, match))
+	c.send(e.From, AppendReply{Match: match, SentAt: req.SentAt})
+}
+
+func (c *Core) stepAppendReply(e Envelope, reply AppendReply) {
+	p, ok := c.peers[e.From]
+	if c.role != RoleLeader || !ok {
+		return
+	}
+	if sent := c.epoch.Add(time.Duration(reply.SentAt)); sent.After(p.ackedAt) && !sent.After(c.now) {
+		p.ackedAt = sent
+	}
+	if reply.Rejected {
+		p.next = max(p.match+1, min(reply.Match+1, p.next))
+		return
+	}
+	if !asserter.That(reply.Match <= c.last(), "matchWithinLog", "%s says %d of %d", e.From, reply.Match, c.last()) {
+		return
+	}
+	if reply.Match > p.match {
+		p.match = reply.Match
+		p.next = max(p.next, p.match+1)
+	}
+	c.advanceCommit()
+}
+
+func (c *Core) stepSnapshot(e Envelope, req SnapshotRequest) {
+	c.followLeader(e.From)
+	s := req.Snapshot
+	if s.Index <= c.commit {
+		c.send(e.From, AppendReply{Match: c.commit, SentAt: req.SentAt})
+		return
+	}
+	m, err := decodeMembership(s.Membership)
+	if err != nil {
+		return
+	}
+	// Entries that follow the same history may be acknowledged already.
+	var rest []recorder.Entry
+	if t, ok := c.termAt(s.Index); ok && t == s.Term {
+		rest = slices.Clone(c.from(s.Index + 1))
+	}
+	c.snapshot, c.base, c.entries = s, m, rest
+	c.commit, c.handed = s.Index, s.Index
+	c.effects.Snapshot = &s
+	c.send(e.From, AppendReply{Match: s.Index, SentAt: req.SentAt})
+}
--- /dev/null
+++ b/process/replicator/replicator.go
@@ -0,0 +1,507 @@
+// Package replicator makes the control hosts of one group agree on a log of
+// commands, and runs each command against the group's state on every host.
+//
+// It follows the Raft algorithm with these parts: pre-vote, a leader lease,
+// leader step-down without a quorum, learners, voter changes one at a time,
+// hand-over of the lead before a planned stop, group commit, and snapshots.
+// Core holds the decisions as a pure state machine. Group runs a Core in one
+// goroutine with a disk and a network: whatever a message promises is synced
+// before the message leaves.
+//
+// # Usage
+//
+//	g := &replicator.Group{ID: id, Recorder: rec, Applier: state, Sender: net}
+//	err := g.Open(initial)
+//	go g.Run(ctx)
+//	result, err := g.Propose(ctx, command)
+//
+// An error of KindUncertain from Propose means that the command may still be
+// accepted; the caller sends it again under the same idempotency id.
+package replicator
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/hornbeamrack/hornbeamrack/process/recorder"
+)
+
+const (
+	// DefaultElectionTimeout is the least silence after which members look for a new leader.
+	DefaultElectionTimeout = 500 * time.Millisecond
+	// DefaultHeartbeatInterval is the time between two heartbeats of a leader.
+	DefaultHeartbeatInterval = 60 * time.Millisecond
+	// DefaultSnapshotBytes is the size of the log, in bytes, after which it is compacted.
+	DefaultSnapshotBytes = 8 << 20
+
+	tickInterval = 10 * time.Millisecond
+	inboxEvents  = 4096
+	maxGroupSize = 256 // maxGroupSize bounds the events that one sync makes durable.
+)
+
+// Applier is the state that a group replicates. One goroutine calls it.
+type Applier interface {
+	// Apply runs one committed command and returns its result. It must depend
+	// on nothing but the state and the command.
+	Apply(index uint64, command []byte) any
+	// Snapshot returns the whole state.
+	Snapshot() ([]byte, error)
+	// Restore replaces the whole state.
+	Restore(index uint64, data []byte) error
+}
+
+// Sender delivers messages to other members. It must not block; a message
+// that cannot be delivered is dropped.
+type Sender interface {
+	Send(to Member, e Envelope)
+}
+
+// Status describes one member's view of its group.
+type Status struct {
+	ID         string     `json:"id"`
+	Role       Role       `json:"role"`
+	Term       uint64     `json:"term"`
+	Leader     string     `json:"leader"`
+	Commit     uint64     `json:"commit"`
+	Last       uint64     `json:"last"`
+	Applied    uint64     `json:"applied"`
+	Membership Membership `json:"membership"`
+	Lagging    []Lag      `json:"lagging,omitempty"`
+}
+
+// Lag tells how far a member is behind its leader, in entries.
+type Lag struct {
+	ID      string `json:"id"`
+	Entries uint64 `json:"entries"`
+}
+
+// Group runs one member of a group. Exported fields are set before Open.
+type Group struct {
+	Name              string
+	ID                string
+	Recorder          *recorder.Recorder
+	Applier           Applier
+	Sender            Sender
+	ElectionTimeout   time.Duration // ElectionTimeout is DefaultElectionTimeout when zero.
+	HeartbeatInterval time.Duration // HeartbeatInterval is DefaultHeartbeatInterval when zero.
+	SnapshotBytes     int           // SnapshotBytes is DefaultSnapshotBytes when zero.
+	Seed              uint64        // Seed spreads elections; it differs between members.
+
+	core     *Core
+	inbox    chan event
+	waiting  map[uint64]waiter
+	logBytes int
+	done     chan struct{}
+
+	mu      sync.Mutex // mu guards the fields below; nothing else is locked while it is held.
+	status  Status
+	applied uint64
+	changed chan struct{} // changed is closed when applied grows.
+	failure error
+}
+
+// event is what Run works on; the implementations are below.
+type event interface{ isEvent() }
+
+type received struct{ envelope Envelope }
+
+type proposal struct {
+	data   []byte
+	result chan outcome
+}
+
+type change struct {
+	to     func(Membership) (Membership, error)
+	result chan outcome
+}
+
+type confirm struct{ result chan outcome }
+
+type handOver struct{ result chan outcome }
+
+func (received) isEvent() {}
+func (proposal) isEvent() {}
+func (change) isEvent()   {}
+func (confirm) isEvent()  {}
+func (handOver) isEvent() {}
+
+type outcome struct {
+	value any
+	index uint64
+	err   error
+}
+
+type waiter struct {
+	term   uint64
+	result chan outcome
+}
+
+// Open reads the durable state. initial is the membership that the group began
+// with.
+func (g *Group) Open(initial Membership) error {
+	g.setDefaults()
+	state, err := g.Recorder.Open()
+	if err != nil {
+		return err
+	}
+	if state.Snapshot.Index > 0 {
+		if err := g.Applier.Restore(state.Snapshot.Index, state.Snapshot.Data); err != nil {
+			return &Error{"open", KindDamaged, err}
+		}
+	}
+	g.core = &Core{
+		ID: g.ID, ElectionTimeout: g.ElectionTimeout, HeartbeatInterval: g.HeartbeatInterval,
+		Rand: rand.New(rand.NewPCG(g.Seed, uint64(len(g.Name)))),
+	}
+	if err := g.core.Start(time.Now(), state, initial); err != nil {
+		return err
+	}
+	g.applied = state.Snapshot.Index
+	g.publish()
+	return nil
+}
+
+func (g *Group) setDefaults() {
+	if g.ElectionTimeout == 0 {
+		g.ElectionTimeout = DefaultElectionTimeout
+	}
+	if g.HeartbeatInterval == 0 {
+		g.HeartbeatInterval = DefaultHeartbeatInterval
+	}
+	if g.SnapshotBytes == 0 {
+		g.SnapshotBytes = DefaultSnapshotBytes
+	}
+	g.inbox = make(chan event, inboxEvents)
+	g.waiting = map[uint64]waiter{}
+	g.done = make(chan struct{})
+	g.changed = make(chan struct{})
+}
+
+// Run works until ctx ends or the disk fails. It returns the disk's error.
+func (g *Group) Run(ctx context.Context) error {
+	defer close(g.done)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return g.Recorder.Close()
+		case <-ticker.C:
+			g.core.Tick(time.Now())
+		case e := <-g.inbox:
+			g.handle(e)
+			g.drain()
+		}
+		if err := g.flush(); err != nil {
+			g.mu.Lock()
+			g.failure = err
+			g.mu.Unlock()
+			return err
+		}
+	}
+}
+
+// drain takes further events that are waiting already, so that one sync
+// serves them all.
+func (g *Group) drain() {
+	for range maxGroupSize {
+		select {
+		case e := <-g.inbox:
+			g.handle(e)
+		default:
+			return
+		}
+	}
+}
+
+func (g *Group) handle(e event) {
+	switch e := e.(type) {
+	case received:
+		g.core.Step(time.Now(), e.envelope)
+	case proposal:
+		index, err := g.core.Propose(recorder.EntryCommand, e.data)
+		g.await(index, err, e.result)
+	case change:
+		to, err := e.to(g.core.Membership())
+		if err != nil {
+			e.result <- outcome{err: &Error{"changeMembership", KindRefused, err}}
+			return
+		}
+		index, err := g.core.ProposeMembership(to)
+		g.await(index, err, e.result)
+	case confirm:
+		index, ok := g.core.Confirm(time.Now())
+		if !ok {
+			e.result <- outcome{err: &Error{"confirm", KindNotLeader, errors.Errorf("leader is %q", g.core.leader)}}
+			return
+		}
+		e.result <- outcome{index: index}
+	case handOver:
+		if !g.core.Transfer() {
+			e.result <- outcome{err: &Error{"handOver", KindNotLeader, errors.New("nothing to hand over")}}
+			return
+		}
+		e.result <- outcome{}
+	}
+}
+
+func (g *Group) await(index uint64, err error, result chan outcome) {
+	if err != nil {
+		result <- outcome{err: err}
+		return
+	}
+	g.waiting[index] = waiter{term: g.core.TermAt(index), result: result}
+}
+
+// flush does what the core wants: sync first, then send, then apply.
+func (g *Group) flush() error {
+	for {
+		e := g.core.Take()
+		if err := g.save(e); err != nil {
+			return err
+		}
+		g.core.Saved()
+		g.sendAll(e.Messages)
+		for _, entry := range e.Commits {
+			g.apply(entry)
+		}
+		if !e.mustSave() && len(e.Commits) == 0 && len(e.Messages) == 0 {
+			break
+		}
+	}
+	g.publish()
+	return g.compact()
+}
+
+func (g *Group) save(e Effects) error {
+	if !e.mustSave() {
+		return nil
+	}
+	for _, entry := range e.Batch.Entries {
+		g.logBytes += len(entry.Data)
+	}
+	if e.Snapshot == nil {
+		return g.Recorder.Save(e.Batch)
+	}
+	if e.Batch.Hard != nil {
+		if err := g.Recorder.Save(recorder.Batch{Hard: e.Batch.Hard}); err != nil {
+			return err
+		}
+	}
+	if err := g.Recorder.Compact(*e.Snapshot, e.Rest); err != nil {
+		return err
+	}
+	g.logBytes = 0
+	if err := g.Applier.Restore(e.Snapshot.Index, e.Snapshot.Data); err != nil {
+		return &Error{"restore", KindDamaged, err}
+	}
+	g.setApplied(e.Snapshot.Index)
+	g.failWaiters(e.Snapshot.Index)
+	return nil
+}
+
+func (g *Group) sendAll(messages []Envelope) {
+	for _, m := range messages {
+		to, ok := g.core.Membership().Find(m.To)
+		if !ok {
+			// A candidate may be voted for by a member that does not know it yet.
+			to = Member{ID: m.To}
+		}
+		g.Sender.Send(to, m)
+	}
+}
+
+func (g *Group) apply(entry recorder.Entry) {
+	var value any
+	if entry.Kind == recorder.EntryCommand {
+		value = g.Applier.Apply(entry.Index, entry.Data)
+	}
+	g.setApplied(entry.Index)
+	w, ok := g.waiting[entry.Index]
+	if !ok {
+		return
+	}
+	delete(g.waiting, entry.Index)
+	if w.term != entry.Term {
+		w.result <- outcome{err: &Error{"propose", KindLost, errors.New("another leader's entry took its place")}}
+		return
+	}
+	w.result <- outcome{value: value, index: entry.Index}
+}
+
+// failWaiters answers the proposals that a snapshot covers: whether they are
+// part of it is not known here.
+func (g *Group) failWaiters(index uint64) {
+	for i, w := range g.waiting {
+		if i <= index {
+			w.result <- outcome{err: &Error{"propose", KindUncertain, errors.New("a snapshot took its place")}}
+			delete(g.waiting, i)
+		}
+	}
+}
+
+func (g *Group) setApplied(index uint64) {
+	g.mu.Lock()
+	g.applied = index
+	close(g.changed)
+	g.changed = make(chan struct{})
+	g.mu.Unlock()
+}
+
+// compact writes a snapshot when the log has grown past its bound.
+func (g *Group) compact() error {
+	if g.logBytes < g.SnapshotBytes {
+		return nil
+	}
+	data, err := g.Applier.Snapshot()
+	if err != nil {
+		return &Error{"snapshot", KindDamaged, err}
+	}
+	s := recorder.Snapshot{
+		Index: g.applied, Term: g.core.TermAt(g.applied),
+		Membership: g.core.MembershipAt(g.applied), Data: data,
+	}
+	rest := g.core.Compacted(s)
+	g.logBytes = 0
+	return g.Recorder.Compact(s, rest)
+}
+
+func (g *Group) publish() {
+	c := g.core
+	s := Status{
+		ID: c.ID, Role: c.role, Term: c.hard.Term, Leader: c.leader,
+		Commit: c.commit, Last: c.last(), Applied: g.applied, Membership: c.Membership(),
+	}
+	for id, p := range c.peers {
+		if p.match < c.commit {
+			s.Lagging = append(s.Lagging, Lag{ID: id, Entries: c.commit - p.match})
+		}
+	}
+	g.mu.Lock()
+	g.status = s
+	g.mu.Unlock()
+}
+
+// Deliver takes in a message from another member. It never blocks for long: a
+// full inbox drops the message, which the protocol makes up for.
+func (g *Group) Deliver(e Envelope) {
+	select {
+	case g.inbox <- received{e}:
+	default:
+	}
+}
+
+// Propose replicates a command and returns the result of applying it here.
+func (g *Group) Propose(ctx context.Context, command []byte) (any, error) {
+	result := make(chan outcome, 1)
+	out := g.ask(ctx, "propose", proposal{command, result}, result)
+	return out.value, out.err
+}
+
+// Confirm returns once this member's state holds everything that was accepted
+// before the call. Only a leader with a valid lease can confirm.
+func (g *Group) Confirm(ctx context.Context) (uint64, error) {
+	result := make(chan outcome, 1)
+	out := g.ask(ctx, "confirm", confirm{result}, result)
+	if out.err != nil {
+		return 0, out.err
+	}
+	return out.index, g.WaitApplied(ctx, out.index)
+}
+
+// WaitApplied returns once the entry at index was applied here.
+func (g *Group) WaitApplied(ctx context.Context, index uint64) error {
+	for {
+		g.mu.Lock()
+		applied, changed := g.applied, g.changed
+		g.mu.Unlock()
+		if applied >= index {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return &Error{"waitApplied", KindBusy, ctx.Err()}
+		case <-g.done:
+			return &Error{"waitApplied", KindStopped, errors.New("the group has stopped")}
+		}
+	}
+}
+
+// AddLearner lets a new member receive the log.
+func (g *Group) AddLearner(ctx context.Context, m Member) error {
+	m.Learner = true
+	return g.change(ctx, func(old Membership) (Membership, error) {
+		if _, ok := old.Find(m.ID); ok {
+			return old, nil
+		}
+		return old.WithMember(m), nil
+	})
+}
+
+// Promote makes a learner that has caught up a voter.
+func (g *Group) Promote(ctx context.Context, id string) error {
+	return g.change(ctx, func(old Membership) (Membership, error) {
+		m, ok := old.Find(id)
+		if !ok {
+			return old, errors.Errorf("no member %s", id)
+		}
+		m.Learner = false
+		return old.WithMember(m), nil
+	})
+}
+
+// Remove takes a member out of the group.
+func (g *Group) Remove(ctx context.Context, id string) error {
+	return g.change(ctx, func(old Membership) (Membership, error) {
+		return old.Without(id), nil
+	})
+}
+
+func (g *Group) change(ctx context.Context, to func(Membership) (Membership, error)) error {
+	result := make(chan outcome, 1)
+	return g.ask(ctx, "changeMembership", change{to, result}, result).err
+}
+
+// HandOver gives the lead to another member before a planned stop.
+func (g *Group) HandOver(ctx context.Context) error {
+	result := make(chan outcome, 1)
+	return g.ask(ctx, "handOver", handOver{result}, result).err
+}
+
+// ask puts an event into the inbox and waits for its outcome.
+func (g *Group) ask(ctx context.Context, op string, e event, result chan outcome) outcome {
+	select {
+	case g.inbox <- e:
+	case <-ctx.Done():
+		return outcome{err: &Error{op, KindBusy, ctx.Err()}}
+	case <-g.done:
+		return outcome{err: &Error{op, KindStopped, g.Failure()}}
+	}
+	select {
+	case out := <-result:
+		return out
+	case <-ctx.Done():
+		return outcome{err: &Error{op, KindUncertain, ctx.Err()}}
+	case <-g.done:
+		return outcome{err: &Error{op, KindUncertain, errors.New("the group has stopped")}}
+	}
+}
+
+// Status returns this member's view.
+func (g *Group) Status() Status {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.status
+}
+
+// Failure returns the error that ended Run, nil while it works.
+func (g *Group) Failure() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.failure
+}
--- /dev/null
+++ b/process/subscriber/subscriber.go
@@ -0,0 +1,290 @@
+// Package subscriber keeps a node's table current.
+//
+// It holds a long call open at one control host, takes each update whole or
+// not at all, and moves on to another host when one is silent or cannot
+// confirm that its state is current. Before the first confirmed update the
+// node has no table and refuses requests as not run; after that it serves on
+// through any outage with what it has.
+//
+// It also makes the node's targets known, until it sees them in its own table.
+//
+// # Usage
+//
+//	s := &subscriber.Subscriber{Node: "host-a", Addresses: addresses, Keeper: keeper, Registrar: registrar}
+//	err := s.Run(ctx)
+package subscriber
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cenkalti/backoff/v5"
+	"github.com/charmbracelet/log"
+	"github.com/sourcegraph/conc"
+
+	"github.com/hornbeamrack/hornbeamrack/connection/messenger"
+	"github.com/hornbeamrack/hornbeamrack/connection/registrar"
+	"github.com/hornbeamrack/hornbeamrack/version/applier"
+	"github.com/hornbeamrack/hornbeamrack/version/compiler"
+	"github.com/hornbeamrack/hornbeamrack/version/differ"
+)
+
+const (
+	syncWait       = 2 * time.Second
+	syncTimeout    = syncWait + 1500*time.Millisecond
+	announceLimit  = 2 * time.Second
+	expireInterval = 500 * time.Millisecond
+	firstBackoff   = 50 * time.Millisecond
+	maxBackoff     = 2 * time.Second
+)
+
+// EvidenceProvider gives what the node saw since the last call.
+type EvidenceProvider interface {
+	Take() []applier.Evidence
+}
+
+// Subscriber is one node's link to the control hosts. Exported fields are set
+// before Run.
+type Subscriber struct {
+	Node       string
+	DataCentre string
+	Address    string // Address is where other nodes send requests for this node's targets.
+	Addresses  []string
+	Keeper     *compiler.Keeper
+	Registrar  *registrar.Registrar
+	Evidence   EvidenceProvider // Evidence may be nil.
+	Client     *messenger.Client
+	Log        *log.Logger
+	Wrap       func(net.Conn) net.Conn
+
+	pool messenger.Pool
+
+	mu          sync.Mutex
+	holding     differ.Holding
+	incarnation uint64
+	leaving     bool
+	resync      bool // resync makes the next call ask for everything.
+	confirmedAt time.Time
+	connected   bool
+	applied     chan struct{} // applied is closed when a table was put in place.
+}
+
+var (
+	updatesTotal  = metrics.NewCounter("hornbeam_updates_total")
+	resyncsTotal  = metrics.NewCounter("hornbeam_resyncs_total")
+	rejectedTotal = metrics.NewCounter("hornbeam_updates_rejected_total")
+)
+
+// Run works until ctx ends.
+func (s *Subscriber) Run(ctx context.Context) error {
+	s.pool.Preface, s.pool.MaxFrame, s.pool.Wrap = messenger.PrefaceNode, messenger.MaxNodeFrame, s.Wrap
+	s.mu.Lock()
+	s.incarnation = uint64(time.Now().UnixNano())
+	s.applied = make(chan struct{})
+	s.mu.Unlock()
+	defer s.pool.Close()
+	var tasks conc.WaitGroup
+	tasks.Go(func() { s.syncLoop(ctx) })
+	tasks.Go(func() { s.announceLoop(ctx) })
+	tasks.Go(func() { s.expireLoop(ctx) })
+	tasks.Wait()
+	return nil
+}
+
+// Ready reports whether the node has a confirmed configuration.
+func (s *Subscriber) Ready() bool { return s.Keeper.Table() != nil }
+
+// ConfirmedAt returns when the table was last known to be current.
+func (s *Subscriber) ConfirmedAt() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.confirmedAt
+}
+
+// Leave tells the control hosts that this node's targets take no more work.
+func (s *Subscriber) Leave(ctx context.Context) error {
+	s.mu.Lock()
+	s.leaving = true
+	incarnation := s.incarnation
+	s.mu.Unlock()
+	return s.Client.Announce(ctx, applier.Announcement{Node: s.Node, Incarnation: incarnation})
+}
+
+func (s *Subscriber) syncLoop(ctx context.Context) {
+	pause := newBackoff()
+	// Nodes begin at different hosts, so that none gets them all.
+	next := int(s.incarnation % uint64(len(s.Addresses)))
+	for ctx.Err() == nil {
+		if s.syncOnce(ctx, s.Addresses[next%len(s.Addresses)]) {
+			pause.Reset()
+			continue
+		}
+		s.setConnected(false, s.Addresses[next%len(s.Addresses)])
+		next++
+		sleep(ctx, pause.NextBackOff())
+	}
+}
+
+func newBackoff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval = firstBackoff, maxBackoff
+	return b
+}
+
+// syncOnce makes one call and reports whether the host is of use.
+func (s *Subscriber) syncOnce(ctx context.Context, address string) bool {
+	call, cancel := context.WithTimeout(ctx, syncTimeout)
+	defer cancel()
+	start := time.Now()
+	args := s.args()
+	var reply messenger.SyncReply
+	if err := s.pool.Get(address).Call(call, messenger.MethodSync, args, &reply); err != nil || !reply.Confirmed {
+		return false
+	}
+	if err := s.apply(reply.Update, args.Have); err != nil {
+		rejectedTotal.Inc()
+		s.Log.Warn("update rejected", "from", address, "err", err)
+		return false
+	}
+	s.mu.Lock()
+	s.confirmedAt = start
+	s.mu.Unlock()
+	s.setConnected(true, address)
+	return true
+}
+
+func (s *Subscriber) args() messenger.SyncArgs {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list, _ := s.Registrar.List()
+	args := messenger.SyncArgs{Wait: syncWait, Report: messenger.NodeReport{
+		Node: s.Node, Incarnation: s.incarnation, DataCentre: s.DataCentre,
+		Version: s.holding.Version, Revision: s.holding.Revision, Targets: len(list), Leaving: s.leaving,
+	}}
+	if s.Keeper.Table() != nil && !s.resync {
+		args.Have = s.holding.Have()
+	} else {
+		args.Wait = 0
+	}
+	if s.Evidence != nil {
+		args.Report.Evidence = s.Evidence.Take()
+	}
+	return args
+}
+
+func (s *Subscriber) setConnected(connected bool, address string) {
+	s.mu.Lock()
+	changed := s.connected != connected
+	s.connected = connected
+	s.mu.Unlock()
+	if changed {
+		s.Log.Info("control", "connected", connected, "host", address)
+	}
+}
+
+// apply takes an update in whole: it is merged, checked by its digest,
+// compiled aside, and put in place in one step.
+func (s *Subscriber) apply(u differ.Update, have differ.Have) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.Keeper.Table() != nil && u.Empty(have) && u.Digest == have.Digest && u.EndpointsHash == have.EndpointsHash {
+		return nil
+	}
+	next, err := differ.Apply(s.holding, u)
+	if err != nil {
+		resyncsTotal.Inc()
+		s.resync = true
+		return err
+	}
+	table, err := compiler.Compile(next, s.DataCentre)
+	if err != nil {
+		return err
+	}
+	if err := s.Keeper.Put(table); err != nil {
+		return err
+	}
+	s.holding, s.resync = next, false
+	updatesTotal.Inc()
+	close(s.applied)
+	s.applied = make(chan struct{})
+	return nil
+}
+
+// announceLoop makes the node's targets known whenever the table shows
+// something else.
+func (s *Subscriber) announceLoop(ctx context.Context) {
+	pause := newBackoff()
+	for ctx.Err() == nil {
+		list, changed := s.Registrar.List()
+		announcement, applied, due := s.announcement(list)
+		if due {
+			call, cancel := context.WithTimeout(ctx, announceLimit)
+			err := s.Client.Announce(call, announcement)
+			cancel()
+			if err == nil {
+				pause.Reset()
+			}
+			// The table shows the accepted list only after the next update.
+			waitAny(ctx, pause.NextBackOff(), changed, applied)
+			continue
+		}
+		waitAny(ctx, maxBackoff, changed, applied)
+	}
+}
+
+// announcement compares the targets with the table.
+func (s *Subscriber) announcement(list []registrar.Announcement) (applier.Announcement, <-chan struct{}, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var mine []applier.Endpoint
+	for _, e := range s.holding.Endpoints {
+		if e.Node != s.Node {
+			continue
+		}
+		// An earlier life of this node cannot stand above this one.
+		s.incarnation = max(s.incarnation, e.Incarnation)
+		e.Modified = 0
+		mine = append(mine, e)
+	}
+	a := applier.Announcement{Node: s.Node, Incarnation: s.incarnation}
+	if !s.leaving {
+		for _, t := range list {
+			a.Endpoints = append(a.Endpoints, s.endpoint(t))
+		}
+	}
+	due := s.Keeper.Table() != nil && !slices.Equal(mine, a.Endpoints)
+	return a, s.applied, due
+}
+
+func (s *Subscriber) endpoint(t registrar.Announcement) applier.Endpoint {
+	return applier.Endpoint{
+		EndpointKey: applier.EndpointKey{Node: s.Node, Target: t.Target}, Incarnation: s.incarnation,
+		Address: s.Address, DataCentre: s.DataCentre, Service: t.Service, Version: t.Version,
+		Slots: t.Slots, Connections: t.Connections, StartedAt: t.StartedAt,
+	}
+}
+
+func (s *Subscriber) expireLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, expireInterval)
+		s.Registrar.Expire()
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) { waitAny(ctx, d, nil, nil) }
+
+// waitAny waits for a time, for one of two channels, or for the end of ctx.
+func waitAny(ctx context.Context, d time.Duration, a, b <-chan struct{}) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-a:
+	case <-b:
+	}
+}
--- /dev/null
+++ b/request/checker/checker.go
@@ -0,0 +1,165 @@
+// Package checker names the headers of the product and refuses requests that
+// two programs could read differently.
+//
+// A request with both Content-Length and Transfer-Encoding, with two lengths,
+// or with headers that only nodes may set is refused at the entry node, before
+// it is routed. Hop-by-hop headers end at each node.
+//
+// # Usage
+//
+//	if err := checker.Check(&ctx.Request); err != nil { /* 400, not run */ }
+//	checker.StripRequest(&ctx.Request.Header)
+package checker
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/hornbeamrack/hornbeamrack/request/claimer"
+)
+
+// The headers that callers, nodes and targets exchange.
+const (
+	// HeaderIdempotencyKey carries the caller's key for a request that must run at most once.
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderDeadline carries the moment after which nobody waits for the answer, in Unix milliseconds.
+	HeaderDeadline = "Hornbeam-Deadline"
+	// HeaderKey carries a key that keeps related requests on one side of a move.
+	HeaderKey = "Hornbeam-Key"
+	// HeaderOutcome carries what is known about whether the request ran: ran, notRun or unknown.
+	HeaderOutcome = "Hornbeam-Outcome"
+	// HeaderReason says why a request was refused.
+	HeaderReason = "Hornbeam-Reason"
+	// HeaderServed names the target version and the target that answered.
+	HeaderServed = "Hornbeam-Served"
+	// HeaderOrder carries the entry node's order to the owner node.
+	HeaderOrder = "Hornbeam-Order"
+	// HeaderRequestID carries the request's id to the target, which may echo it.
+	HeaderRequestID = "X-Request-Id"
+
+	ownPrefix = "hornbeam-"
+)
+
+// Kind tells why a request was refused.
+type Kind string
+
+// The kinds of refusals.
+const (
+	KindAmbiguous Kind = "ambiguous"
+	KindForged    Kind = "forged"
+	KindInvalid   Kind = "invalid"
+)
+
+// Error is the only error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("checker: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Check refuses a caller's request that is ambiguous or forged.
+func Check(req *fasthttp.Request) error {
+	lengths, encodings, hosts := 0, 0, 0
+	for line := range bytes.SplitSeq(req.Header.RawHeaders(), []byte("\n")) {
+		name, _, ok := bytes.Cut(line, []byte(":"))
+		if !ok {
+			continue
+		}
+		switch lower := strings.ToLower(string(name)); {
+		case strings.TrimSpace(lower) != lower:
+			return &Error{"check", KindAmbiguous, errors.Errorf("white space in header name %q", name)}
+		case lower == "content-length":
+			lengths++
+		case lower == "transfer-encoding":
+			encodings++
+		case lower == "host":
+			hosts++
+		case strings.HasPrefix(lower, ownPrefix) && !callersMay(lower):
+			return &Error{"check", KindForged, errors.Errorf("callers may not set %s", name)}
+		}
+	}
+	if lengths > 1 || encodings > 1 || hosts > 1 || (lengths > 0 && encodings > 0) {
+		return &Error{"check", KindAmbiguous, errors.New("more than one body length or host")}
+	}
+	if key := req.Header.Peek(HeaderIdempotencyKey); len(key) > claimer.MaxKeyBytes {
+		return &Error{"check", KindInvalid, errors.Errorf("%s is longer than %d bytes", HeaderIdempotencyKey, claimer.MaxKeyBytes)}
+	}
+	return nil
+}
+
+func callersMay(lower string) bool {
+	return strings.EqualFold(lower, HeaderDeadline) || strings.EqualFold(lower, HeaderKey)
+}
+
+// Deadline returns the earlier of the caller's deadline and the latest one
+// allowed.
+func Deadline(h *fasthttp.RequestHeader, latest time.Time) (time.Time, error) {
+	raw := h.Peek(HeaderDeadline)
+	if len(raw) == 0 {
+		return latest, nil
+	}
+	ms, err := strconv.ParseInt(string(raw), 10, 64)
+	if err != nil {
+		return latest, &Error{"deadline", KindInvalid, errors.Errorf("%s is not a time in Unix milliseconds", HeaderDeadline)}
+	}
+	if own := time.UnixMilli(ms); own.Before(latest) {
+		return own, nil
+	}
+	return latest, nil
+}
+
+var hopByHop = []string{"Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Upgrade"}
+
+// StripRequest removes what must not travel to the next hop.
+func StripRequest(h *fasthttp.RequestHeader) {
+	for _, name := range connectionOptions(h.Peek(fasthttp.HeaderConnection)) {
+		h.Del(name)
+	}
+	h.Del(fasthttp.HeaderConnection)
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+}
+
+// StripResponse removes what a target must not say to the caller: hop-by-hop
+// headers, and headers that only nodes may set.
+func StripResponse(h *fasthttp.ResponseHeader) {
+	for _, name := range connectionOptions(h.Peek(fasthttp.HeaderConnection)) {
+		h.Del(name)
+	}
+	h.Del(fasthttp.HeaderConnection)
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+	for _, name := range []string{HeaderOutcome, HeaderReason, HeaderServed, HeaderOrder} {
+		h.Del(name)
+	}
+}
+
+// connectionOptions lists the headers that a Connection header declares as
+// hop-by-hop.
+func connectionOptions(value []byte) []string {
+	if len(value) == 0 {
+		return nil
+	}
+	var names []string
+	for part := range strings.SplitSeq(string(value), ",") {
+		name := strings.TrimSpace(part)
+		if name != "" && !strings.EqualFold(name, "close") && !strings.EqualFold(name, "keep-alive") {
+			names = append(names, name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/stand/starter/mesh_integration_test.go
@@ -0,0 +1,170 @@
+package starter
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+)
+
+const section = `services:
+  - name: designs
+    slots: 10
+routes:
+  - path: /designs
+    methods: [GET]
+    service: designs
+    retries: 2
+  - path: /previews
+    methods: [GET]
+    service: designs
+    stream: true
+  - path: /deposits
+    methods: [POST]
+    service: designs
+    nonIdempotent: true
+    importance: high
+    retries: 2
+`
+
+var bin string
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "hornbeam-bin")
+	if err == nil {
+		err = Build(folder)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	bin = folder
+	code := m.Run()
+	_ = os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+// newMesh starts control hosts, nodes and two targets, and has the section
+// accepted.
+func newMesh(t *testing.T, nodes int) *Mesh {
+	is := is.New(t)
+	m := &Mesh{Folder: t.TempDir(), Bin: bin, Controls: 3, Nodes: nodes, DataCentres: 2, Trace: true}
+	t.Cleanup(func() {
+		m.Stop()
+		if t.Failed() {
+			for _, p := range m.all() {
+				t.Logf("--- %s\n%s", p.Name, p.Log())
+			}
+		}
+	})
+	is.NoErr(m.Start(t.Context()))
+	for i := range 2 {
+		_, err := m.StartTarget(m.Node[i], fmt.Sprintf("t%d", i+1), "designs", "v1", "--ledger", filepath.Join(m.Folder, "ledger"))
+		is.NoErr(err)
+	}
+	out, code, err := m.OperateWith([]byte(section), "section", "edit", "designs", "--file", "-", "--base", "0")
+	is.NoErr(err)
+	is.Equal(code, 0) // the edit is accepted
+	is.True(strings.Contains(out, "accepted"))
+	for _, n := range m.Node {
+		is.NoErr(Await(t.Context(), 20*time.Second, n.Name+" serves", func() bool {
+			status, _, err := Get("http://" + n.Entry + "/designs/1")
+			return err == nil && status == fasthttp.StatusOK
+		}))
+	}
+	return m
+}
+
+// deposit sends a deposit with a key and returns status, outcome and answer.
+func deposit(entry, key string) (int, string, string, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + entry + "/deposits")
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.Set("Idempotency-Key", key)
+	req.SetBodyString("100 for " + key)
+	err := fasthttp.DoTimeout(req, resp, 10*time.Second)
+	return resp.StatusCode(), string(resp.Header.Peek("Hornbeam-Outcome")), string(resp.Body()), err
+}
+
+func ledger(t *testing.T, m *Mesh) []string {
+	b, err := os.ReadFile(filepath.Join(m.Folder, "ledger"))
+	if os.IsNotExist(err) {
+		return nil
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return strings.Fields(string(b))
+}
+
+func TestWholePath(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, 4)
+	for _, n := range m.Node {
+		status, body, err := Get("http://" + n.Entry + "/designs/7")
+		is.NoErr(err)
+		is.Equal(status, fasthttp.StatusOK)
+		is.True(strings.HasPrefix(string(body), "/designs/7 by t")) // the target's own answer
+
+		key := "key-" + n.Name
+		_, outcome, first, err := deposit(n.Entry, key)
+		is.NoErr(err)
+		is.Equal(outcome, "ran")
+		_, outcome, second, err := deposit(m.Node[0].Entry, key)
+		is.NoErr(err)
+		is.Equal(outcome, "ran")
+		is.Equal(first, second) // a resend gets the stored answer
+
+		status, body, err = Get("http://" + n.Entry + "/previews/1")
+		is.NoErr(err)
+		is.Equal(status, fasthttp.StatusOK)
+		is.True(bytes.HasSuffix(bytes.TrimSpace(body), []byte("v1"))) // the stream is whole
+		is.True(len(body) > 16*8<<10)
+	}
+	is.Equal(len(ledger(t, m)), len(m.Node)) // each deposit ran once
+	is.NoErr(m.Node[3].Stop())
+	is.NoErr(m.Node[0].Stop())
+	is.NoErr(m.Node[1].Stop())
+	checkTrace(t, m)
+}
+
+// checkTrace looks for one trace with a span of an entry node and one of an
+// owner node.
+func checkTrace(t *testing.T, m *Mesh) {
+	is := is.New(t)
+	read := func(name string) string {
+		b, err := os.ReadFile(filepath.Join(m.Folder, name+".trace.json"))
+		is.NoErr(err)
+		return string(b)
+	}
+	entry := read("node-4")
+	owners := read("node-1") + read("node-2")
+	_, rest, ok := strings.Cut(entry, `"TraceID":"`)
+	is.True(ok) // node-4 has no target, so its requests crossed to another node
+	id := rest[:32]
+	is.True(strings.Contains(owners, id)) // the owner's span is in the same trace
+}
+
+func TestControlHostKilled(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, 2)
+	m.Control[0].Kill()
+	out, code, err := m.OperateWith([]byte(section+"# changed\n"), "section", "edit", "designs", "--file", "-", "--base", "1")
+	is.NoErr(err)
+	t.Log(out)
+	is.Equal(code, 0) // the two others agree without it
+	_, outcome, _, err := deposit(m.Node[0].Entry, "after-kill")
+	is.NoErr(err)
+	is.Equal(outcome, "ran")
+	is.NoErr(m.StartControl(m.Control[0]))
+	is.NoErr(m.Control[0].WaitReady(context.Background()))
+}
--- /dev/null
+++ b/stand/starter/starter.go
@@ -0,0 +1,360 @@
+// Package starter starts the real programs as separate processes, for tests
+// and measurements.
+//
+// # Usage
+//
+//	m := &starter.Mesh{Folder: dir, Control: 3, Nodes: 4}
+//	err := m.Start(ctx)
+//	defer m.Stop()
+//	out, err := m.Control("section", "list")
+//
+// Every process listens on loopback, keeps its files below Folder and is ended
+// by its own id.
+package starter
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/hornbeamrack/hornbeamrack/process/controller"
+)
+
+const (
+	readyTimeout = 30 * time.Second
+	stopTimeout  = 60 * time.Second
+	pollInterval = 20 * time.Millisecond
+	httpTimeout  = 5 * time.Second
+)
+
+// Process is one running program.
+type Process struct {
+	Name  string
+	Admin string // Admin is the address of its metrics, empty for a target.
+	cmd   *exec.Cmd
+	done  chan struct{}
+	err   error
+	log   *bytes.Buffer
+}
+
+// Control is a control host.
+type Control struct {
+	*Process
+	RPC, Operators string
+	settings       string
+}
+
+// Node is a node with its addresses.
+type Node struct {
+	*Process
+	Entry, Peer, Announce, DataCentre string
+	settings                          string
+}
+
+// Target is a stand-in target.
+type Target struct {
+	*Process
+	Address string
+}
+
+// Mesh is a set of processes. Exported fields but the lists are set before
+// Start.
+type Mesh struct {
+	Folder      string
+	Bin         string // Bin holds the programs; Build makes them.
+	Controls    int
+	Nodes       int
+	DataCentres int // DataCentres is 1 when zero; nodes are spread over them.
+	Trace       bool
+
+	Control []*Control
+	Node    []*Node
+	Target  []*Target
+	ports   []net.Listener
+}
+
+// Token is the token of the only team, "designs".
+const Token = "stand-in-token"
+
+// Build compiles the programs into a folder.
+func Build(folder string) error {
+	for _, p := range []string{"cmd/hornbeamd", "cmd/hornbeamctl", "stand/target"} {
+		cmd := exec.Command("go", "build", "-o", filepath.Join(folder, filepath.Base(p)), "github.com/hornbeamrack/hornbeamrack/"+p)
+		if out, err := cmd.CombinedOutput(); err != nil {
+			return errors.Errorf("build %s: %v\n%s", p, err, out)
+		}
+	}
+	return nil
+}
+
+// FreeAddress returns a loopback address that nothing listens on.
+func FreeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
+
+// addresses returns n different free addresses.
+func addresses(n int) ([]string, error) {
+	var out []string
+	var open []net.Listener
+	defer func() {
+		for _, l := range open {
+			_ = l.Close()
+		}
+	}()
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		open = append(open, l)
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
+
+// Start starts all control hosts and nodes and waits until they are ready.
+func (m *Mesh) Start(ctx context.Context) error {
+	if err := m.plan(); err != nil {
+		return err
+	}
+	for _, c := range m.Control {
+		if err := m.StartControl(c); err != nil {
+			return err
+		}
+	}
+	for _, n := range m.Node {
+		if err := m.StartNode(n); err != nil {
+			return err
+		}
+	}
+	for _, c := range m.Control {
+		if err := c.WaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	for _, n := range m.Node {
+		if err := n.WaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// plan writes the settings of every process.
+func (m *Mesh) plan() error {
+	free, err := addresses(3*m.Controls + 4*m.Nodes)
+	if err != nil {
+		return err
+	}
+	take := func() string {
+		a := free[0]
+		free = free[1:]
+		return a
+	}
+	for i := range m.Controls {
+		m.Control = append(m.Control, &Control{Process: &Process{Name: fmt.Sprintf("control-%d", i+1), Admin: take()}, RPC: take(), Operators: take()})
+	}
+	for i := range m.Nodes {
+		dc := fmt.Sprintf("dc-%d", i%max(m.DataCentres, 1)+1)
+		m.Node = append(m.Node, &Node{Process: &Process{Name: fmt.Sprintf("node-%d", i+1), Admin: take()}, Entry: take(), Peer: take(), Announce: take(), DataCentre: dc})
+	}
+	for _, c := range m.Control {
+		c.settings = filepath.Join(m.Folder, c.Name+".yaml")
+		if err := os.WriteFile(c.settings, []byte(m.controlSettings(c)), 0o600); err != nil {
+			return err
+		}
+	}
+	for _, n := range m.Node {
+		n.settings = filepath.Join(m.Folder, n.Name+".yaml")
+		if err := os.WriteFile(n.settings, []byte(m.nodeSettings(n)), 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (m *Mesh) controlSettings(c *Control) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "name: %s\ndataCentre: dc-1\nroles: [control]\ndataFolder: %s\nadminAddress: %s\n", c.Name, "data-"+c.Name, c.Admin)
+	fmt.Fprintf(&b, "control:\n  rpcAddress: %s\n  operatorAddress: %s\n  peers:\n", c.RPC, c.Operators)
+	for _, p := range m.Control {
+		fmt.Fprintf(&b, "    - {name: %s, address: \"%s\"}\n", p.Name, p.RPC)
+	}
+	fmt.Fprintf(&b, "  teams:\n    - {name: designs, tokenHash: \"%s\"}\n", controller.HashToken(Token))
+	return b.String()
+}
+
+func (m *Mesh) nodeSettings(n *Node) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "name: %s\ndataCentre: %s\nroles: [node]\nadminAddress: %s\n", n.Name, n.DataCentre, n.Admin)
+	if m.Trace {
+		fmt.Fprintf(&b, "traces: {file: %s.trace.json, ratio: 1}\n", n.Name)
+	}
+	fmt.Fprintf(&b, "node:\n  entryAddress: %s\n  peerAddress: %s\n  announceAddress: %s\n  control:\n", n.Entry, n.Peer, n.Announce)
+	for _, c := range m.Control {
+		fmt.Fprintf(&b, "    - \"%s\"\n", c.RPC)
+	}
+	return b.String()
+}
+
+// StartControl starts a control host, again after a Kill or Stop as well.
+func (m *Mesh) StartControl(c *Control) error {
+	return c.start(exec.Command(filepath.Join(m.Bin, "hornbeamd"), "run", "--settings", c.settings))
+}
+
+// StartNode starts a node, again after a Kill or Stop as well.
+func (m *Mesh) StartNode(n *Node) error {
+	return n.start(exec.Command(filepath.Join(m.Bin, "hornbeamd"), "run", "--settings", n.settings))
+}
+
+// StartTarget starts a stand-in target beside a node.
+func (m *Mesh) StartTarget(n *Node, name, service, version string, extra ...string) (*Target, error) {
+	address, err := FreeAddress()
+	if err != nil {
+		return nil, err
+	}
+	args := append([]string{"--name", name, "--service", service, "--version", version, "--address", address, "--announce", n.Announce}, extra...)
+	t := &Target{Process: &Process{Name: name}, Address: address}
+	m.Target = append(m.Target, t)
+	return t, t.start(exec.Command(filepath.Join(m.Bin, "target"), args...))
+}
+
+func (p *Process) start(cmd *exec.Cmd) error {
+	p.log = &bytes.Buffer{}
+	cmd.Stdout, cmd.Stderr = p.log, p.log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	done := make(chan struct{})
+	p.cmd, p.done = cmd, done
+	go func() {
+		p.err = cmd.Wait()
+		close(done)
+	}()
+	return nil
+}
+
+// Pid returns the process's id.
+func (p *Process) Pid() int { return p.cmd.Process.Pid }
+
+// Kill ends the process at once.
+func (p *Process) Kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// Freeze stops the process's time; Thaw lets it go on.
+func (p *Process) Freeze() error { return p.cmd.Process.Signal(syscall.SIGSTOP) }
+
+// Thaw lets a frozen process go on.
+func (p *Process) Thaw() error { return p.cmd.Process.Signal(syscall.SIGCONT) }
+
+// Stop asks the process to stop and waits for it.
+func (p *Process) Stop() error {
+	_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+		return p.err
+	case <-time.After(stopTimeout):
+		p.Kill()
+		return errors.Errorf("%s did not stop within %s:\n%s", p.Name, stopTimeout, p.Log())
+	}
+}
+
+// Running reports whether the process has not ended.
+func (p *Process) Running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Log returns what the process has printed; it is complete once it has ended.
+func (p *Process) Log() string { return p.log.String() }
+
+// Stop ends every process that still runs, targets first.
+func (m *Mesh) Stop() {
+	for _, p := range m.all() {
+		if p.cmd != nil && p.Running() {
+			p.Kill()
+		}
+	}
+}
+
+func (m *Mesh) all() []*Process {
+	var out []*Process
+	for _, t := range m.Target {
+		out = append(out, t.Process)
+	}
+	for _, n := range m.Node {
+		out = append(out, n.Process)
+	}
+	for _, c := range m.Control {
+		out = append(out, c.Process)
+	}
+	return out
+}
+
+// WaitReady waits until the process says that it is ready.
+func (p *Process) WaitReady(ctx context.Context) error {
+	return Await(ctx, readyTimeout, p.Name+" ready", func() bool {
+		status, _, err := Get("http://" + p.Admin + "/readyz")
+		return err == nil && status == fasthttp.StatusOK
+	})
+}
+
+// Await waits until condition holds.
+func Await(ctx context.Context, limit time.Duration, what string, condition func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for !condition() {
+		if ctx.Err() != nil {
+			return errors.Errorf("not within %s: %s", limit, what)
+		}
+		time.Sleep(pollInterval)
+	}
+	return nil
+}
+
+// Get fetches a URL.
+func Get(url string) (int, []byte, error) {
+	return fasthttp.GetTimeout(nil, url, httpTimeout)
+}
+
+// Operate runs hornbeamctl and returns its output and exit code.
+func (m *Mesh) Operate(args ...string) (string, int, error) {
+	return m.OperateWith(nil, args...)
+}
+
+// OperateWith runs hornbeamctl with a standard input.
+func (m *Mesh) OperateWith(stdin []byte, args ...string) (string, int, error) {
+	var all []string
+	for _, c := range m.Control {
+		all = append(all, "--address", c.Operators)
+	}
+	cmd := exec.Command(filepath.Join(m.Bin, "hornbeamctl"), append(append(all, "--token", Token), args...)...)
+	cmd.Stdin = bytes.NewReader(stdin)
+	out, err := cmd.CombinedOutput()
+	var exit *exec.ExitError
+	if errors.As(err, &exit) {
+		return string(out), exit.ExitCode(), nil
+	}
+	return string(out), 0, err
+}
--- /dev/null
+++ b/version/applier/applier.go
@@ -0,0 +1,332 @@
+// Package applier holds the state that the control hosts agree on, and turns
+// one state into the next.
+//
+// Every host runs the same commands in the same order, so Next depends on
+// nothing but the state and the command: the time comes with the command. The
+// whole merged document is validated here, at the one place where no other
+// edit can come in between.
+//
+// # Usage
+//
+//	a := &applier.Applier{}
+//	result := a.Apply(index, encodedCommand)
+//	state := a.State()
+//
+// Applier implements replicator.Applier.
+package applier
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hornbeamrack/hornbeamrack/common/encoder"
+	"github.com/pkg/errors"
+
+	"github.com/hornbeamrack/hornbeamrack/common/asserter"
+	"github.com/hornbeamrack/hornbeamrack/common/decoder"
+	"github.com/hornbeamrack/hornbeamrack/version/parser"
+	"github.com/hornbeamrack/hornbeamrack/version/validator"
+)
+
+// Kind tells what went wrong.
+type Kind string
+
+// The kinds of applier errors.
+const (
+	KindDamaged Kind = "damaged"
+)
+
+// Error is the only error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("applier: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Applier publishes the newest state to any number of readers.
+type Applier struct {
+	mu      sync.Mutex
+	state   State
+	index   uint64
+	changed chan struct{}
+}
+
+// State returns the newest state.
+func (a *Applier) State() State {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.state
+}
+
+// Changed returns the newest state and a channel that is closed when there is
+// a newer one.
+func (a *Applier) Changed() (State, <-chan struct{}) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.changed == nil {
+		a.changed = make(chan struct{})
+	}
+	return a.state, a.changed
+}
+
+// Apply runs one command; edits give a Result.
+func (a *Applier) Apply(index uint64, command []byte) any {
+	c, err := Decode(command)
+	if err != nil {
+		asserter.That(false, "commandDecodes", "index %d: %v", index, err)
+		return err
+	}
+	next, result := a.State().Next(index, c)
+	a.publish(index, next)
+	return result
+}
+
+func (a *Applier) publish(index uint64, next State) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	asserter.That(next.Version >= a.state.Version, "stateVersionMonotonic", "%d after %d", next.Version, a.state.Version)
+	a.state, a.index = next, index
+	if a.changed != nil {
+		close(a.changed)
+	}
+	a.changed = make(chan struct{})
+}
+
+// Snapshot returns the whole state.
+func (a *Applier) Snapshot() ([]byte, error) {
+	b, err := encoder.Marshal(a.State())
+	return b, errors.Wrap(err, "encode state")
+}
+
+// Restore replaces the whole state.
+func (a *Applier) Restore(index uint64, data []byte) error {
+	var s State
+	if err := encoder.Unmarshal(data, &s); err != nil {
+		return &Error{"restore", KindDamaged, err}
+	}
+	a.publish(index, s)
+	return nil
+}
+
+// Next returns the state after a command, and the answer to whoever sent it.
+func (s State) Next(index uint64, c Command) (State, Result) {
+	switch c := c.(type) {
+	case EditSection:
+		return s.once(c.EditID, c, func() (State, Result) { return s.edit(index, c) })
+	case BeginMove:
+		return s.once(c.EditID, c, func() (State, Result) { return s.beginMove(index, c) })
+	case CancelMove:
+		return s.once(c.EditID, c, func() (State, Result) { return s.cancelMove(index, c) })
+	case StepMove:
+		return s.stepMove(index, c)
+	case Announce:
+		return s.announce(index, c), Result{Outcome: OutcomeAccepted}
+	case ExpireNodes:
+		return s.expire(index, c), Result{Outcome: OutcomeAccepted}
+	}
+	return s, Result{}
+}
+
+// once runs an edit unless its id was answered before.
+func (s State) once(id string, c Command, run func() (State, Result)) (State, Result) {
+	sum := digest(c)
+	if kept, ok := s.Result(id); ok {
+		if kept.Digest != sum {
+			return s, refused(s, "edit id "+id+" was used for another edit; use a new id")
+		}
+		return s, kept
+	}
+	next, result := run()
+	result.EditID, result.Digest = id, sum
+	return next.WithResult(result), result
+}
+
+func refused(s State, message string) Result {
+	return Result{Outcome: OutcomeRefused, Version: s.Version, Message: message}
+}
+
+func (s State) edit(index uint64, c EditSection) (State, Result) {
+	sec, known := s.Section(c.Section)
+	if !known {
+		sec = Section{Name: c.Section, Team: c.Team}
+	}
+	if sec.Team != c.Team {
+		return s, refused(s, fmt.Sprintf("section %q belongs to team %q", c.Section, sec.Team))
+	}
+	if sec.Current.Number != c.BaseRevision {
+		winner := sec.Current
+		return s, Result{Outcome: OutcomeConflict, Version: s.Version, Revision: winner.Number, Winner: &winner,
+			Message: fmt.Sprintf("section %q is at revision %d, the edit was made on %d", c.Section, winner.Number, c.BaseRevision)}
+	}
+	revision, message := nextRevision(sec, c)
+	if message != "" {
+		return s, refused(s, message)
+	}
+	revision.Version = s.Version + 1
+	next := s.WithSection(sec.WithRevision(revision))
+	if _, err := validator.Merge(next.Sources()); err != nil {
+		return s, refusedAt(s, err)
+	}
+	next.Version++
+	next = next.WithEvent(Event{Index: index, At: c.At, Kind: "section" + string(c.Action), Subject: c.Section,
+		Detail: fmt.Sprintf("revision %d by team %s", revision.Number, c.Team)})
+	return next, Result{Outcome: OutcomeAccepted, Version: next.Version, Revision: revision.Number}
+}
+
+func refusedAt(s State, err error) Result {
+	r := refused(s, err.Error())
+	var place *decoder.Error
+	if errors.As(err, &place) {
+		r.Place = place
+	}
+	return r
+}
+
+// nextRevision returns what the section becomes, or why it cannot.
+func nextRevision(sec Section, c EditSection) (Revision, string) {
+	r := Revision{Number: sec.Current.Number + 1, EditID: c.EditID, Team: c.Team, At: c.At, Body: c.Body}
+	switch c.Action {
+	case ActionEdit:
+		if !parser.ValidName(c.Section) {
+			return r, fmt.Sprintf("section name %q is not valid; use lower-case letters, digits and hyphens", c.Section)
+		}
+		if sec.Current.Retired {
+			return r, fmt.Sprintf("section %q is retired; restore it first", c.Section)
+		}
+	case ActionRetire:
+		if sec.Current.Number == 0 || sec.Current.Retired {
+			return r, fmt.Sprintf("section %q is not in force", c.Section)
+		}
+		r.Body, r.Retired = sec.Current.Body, true
+	case ActionRestore:
+		old, ok := sec.Find(c.Restore)
+		if c.Restore == 0 {
+			old, ok = sec.Current, sec.Current.Number > 0
+		}
+		if !ok {
+			return r, fmt.Sprintf("section %q has no revision %d; see its history", c.Section, c.Restore)
+		}
+		r.Body = old.Body
+	default:
+		return r, fmt.Sprintf("unknown action %q", c.Action)
+	}
+	return r, ""
+}
+
+func (s State) beginMove(index uint64, c BeginMove) (State, Result) {
+	t, ok := s.Traffic(c.Service)
+	if !ok {
+		return s, refused(s, fmt.Sprintf("no target of service %q has announced itself", c.Service))
+	}
+	if t.Move != nil && t.Move.Running() {
+		return s, refused(s, fmt.Sprintf("move %s of service %q is running; cancel it first", t.Move.ID, c.Service))
+	}
+	if message := s.moveFault(t, c); message != "" {
+		return s, refused(s, message)
+	}
+	next := s.archive(t)
+	next.Version++
+	t.Move = &Move{ID: c.EditID, Service: c.Service, From: t.Serving, To: c.To, Deadline: c.Deadline,
+		Preference: c.Preference, Phase: PhaseRunning, BegunAt: c.At}
+	t.Modified = next.Version
+	next = next.WithTraffic(t).WithEvent(Event{Index: index, At: c.At, Kind: "moveBegun", Subject: c.Service,
+		Detail: fmt.Sprintf("%s to %s by %s", t.Move.From, t.Move.To, c.Deadline.UTC().Format(time.RFC3339))})
+	return next, Result{Outcome: OutcomeAccepted, Version: next.Version, MoveID: c.EditID}
+}
+
+// moveFault says why a move cannot begin, or nothing.
+func (s State) moveFault(t Traffic, c BeginMove) string {
+	switch {
+	case c.From != "" && c.From != t.Serving:
+		return fmt.Sprintf("service %q is served by version %q, not %q", c.Service, t.Serving, c.From)
+	case c.To == t.Serving:
+		return fmt.Sprintf("service %q is served by version %q already", c.Service, c.To)
+	case !c.Deadline.After(c.At):
+		return "the deadline has passed already"
+	case c.Preference != PreferDeadline && c.Preference != PreferCaution:
+		return fmt.Sprintf("unknown preference %q; use %s or %s", c.Preference, PreferDeadline, PreferCaution)
+	case !s.announced(c.Service, c.To):
+		return fmt.Sprintf("no target of service %q runs version %q yet; start one and try again", c.Service, c.To)
+	}
+	return ""
+}
+
+func (s State) announced(service, version string) bool {
+	return slices.ContainsFunc(s.Endpoints, func(e Endpoint) bool { return e.Service == service && e.Version == version })
+}
+
+// archive keeps an ended move when another takes its place.
+func (s State) archive(t Traffic) State {
+	if t.Move != nil {
+		s.PastMoves = withBounded(s.PastMoves, *t.Move, MaxEvents)
+	}
+	return s
+}
+
+func (s State) cancelMove(index uint64, c CancelMove) (State, Result) {
+	t, ok := s.Traffic(c.Service)
+	if !ok || t.Move == nil || !t.Move.Running() {
+		return s, refused(s, fmt.Sprintf("no move of service %q is running", c.Service))
+	}
+	next := s.endMove(index, t, PhaseCancelled, "cancelled by team "+c.Team, c.At)
+	return next, Result{Outcome: OutcomeAccepted, Version: next.Version, MoveID: t.Move.ID}
+}
+
+// endMove ends a move. A version that is taken back is a new configuration
+// version, never a return to an older one.
+func (s State) endMove(index uint64, t Traffic, phase Phase, reason string, at time.Time) State {
+	m := *t.Move
+	m.Phase, m.Reason, m.EndedAt = phase, reason, at
+	m.Share, m.UnsafeShare = 0, 0
+	t.Serving = m.From
+	if phase == PhaseDone {
+		m.Share, m.UnsafeShare = FullShare, FullShare
+		t.Serving = m.To
+	}
+	s.Version++
+	t.Move, t.Modified = &m, s.Version
+	return s.WithTraffic(t).WithEvent(Event{Index: index, At: at, Kind: "move" + string(phase), Subject: m.Service,
+		Detail: fmt.Sprintf("%s to %s: %s", m.From, m.To, reason)})
+}
+
+// FullShare is all of the traffic, in basis points.
+const FullShare = 10_000
+
+func (s State) stepMove(index uint64, c StepMove) (State, Result) {
+	t, ok := s.Traffic(c.Service)
+	if !ok || t.Move == nil || t.Move.ID != c.MoveID {
+		return s, refused(s, "the move has ended")
+	}
+	// A version that was moved to is still taken back while it is watched.
+	watched := t.Move.Phase == PhaseDone && c.Phase == PhaseTakenBack
+	if !watched && (!t.Move.Running() || t.Move.Share != c.OldShare) {
+		return s, refused(s, "the move has changed")
+	}
+	if c.Phase != PhaseRunning {
+		next := s.endMove(index, t, c.Phase, c.Reason, c.At)
+		return next, Result{Outcome: OutcomeAccepted, Version: next.Version}
+	}
+	m := *t.Move
+	m.Share, m.UnsafeShare, m.Late, m.Reason = c.Share, c.UnsafeShare, c.Late, c.Reason
+	next := s
+	next.Version++
+	t.Move, t.Modified = &m, next.Version
+	next = next.WithTraffic(t)
+	if c.Late && !s.wasLate(c.Service) {
+		next = next.WithEvent(Event{Index: index, At: c.At, Kind: "moveLate", Subject: c.Service, Detail: c.Reason})
+	}
+	return next, Result{Outcome: OutcomeAccepted, Version: next.Version}
+}
+
+func (s State) wasLate(service string) bool {
+	t, _ := s.Traffic(service)
+	return t.Move != nil && t.Move.Late
+}
