Moves: sequential test by route, staged shares by the deadline, node brake

Cause: a new version got no traffic by any rule; moves were recorded only.

Weighed: fixed error threshold (blind to what the old version does), one test for all routes (hides a fault of one route), cumulative sums of the log likelihood ratio by route against the old version in the same window (taken).

(2) A 45 s move ended 10 s late: stages were timed one after the other and each rounded up; they now have places in the time up to the deadline.

--- a/connection/messenger/message.go
+++ b/connection/messenger/message.go
@@ -5,6 +5,7 @@
 
 	"github.com/hornbeamrack/hornbeamrack/process/replicator"
 	"github.com/hornbeamrack/hornbeamrack/version/applier"
+	"github.com/hornbeamrack/hornbeamrack/version/decider"
 	"github.com/hornbeamrack/hornbeamrack/version/differ"
 )
 
@@ -67,7 +68,7 @@
 	Revision    uint64             `json:"revision"`
 	Targets     int                `json:"targets"`
 	Leaving     bool               `json:"leaving"`
-	Evidence    []applier.Evidence `json:"-"`
+	Evidence    []decider.Evidence `json:"-"` // Evidence is what the node saw since its last report.
 }
 
 // Sighting is a report with its age, since clocks differ between hosts.
@@ -77,8 +78,11 @@
 	Lags   time.Duration `json:"lags"` // Lags is how long the node has been behind the newest version.
 }
 
-// SeenArgs carries the nodes that a follower saw to the leader.
-type SeenArgs struct{ Sightings []Sighting }
+// SeenArgs carries what nodes told a follower to the leader.
+type SeenArgs struct {
+	Sightings []Sighting
+	Evidence  []decider.Evidence
+}
 
 // SyncArgs asks for what changed since Have, waiting for up to Wait.
 type SyncArgs struct {
--- a/connection/registrar/registrar.go
+++ b/connection/registrar/registrar.go
@@ -19,6 +19,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,7 +35,9 @@
 	// MaxTargets bounds the targets on one host.
 	MaxTargets = 64
 
-	maxSlots = 10_000
+	maxSlots     = 10_000
+	coldRequests = 20
+	coldTime     = 10 * time.Second
 )
 
 // Kind tells why an announcement was refused.
@@ -105,6 +108,13 @@
 
 	expiresAt time.Time
 	leaving   bool
+	served    atomic.Int64
+}
+
+// Cold counts one answer and reports whether the target is so new that its
+// latency says nothing yet.
+func (t *Target) Cold() bool {
+	return t.served.Add(1) <= coldRequests || time.Since(time.UnixMilli(t.StartedAt)) < coldTime
 }
 
 // Registrar is safe for concurrent use.
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -96,6 +96,7 @@
 	confirm  [2]*confirmer
 	sight    sightings
 	batch    batcher
+	evidence evidenceBox
 	target   atomic.Pointer[targetHave]
 	listener net.Listener
 	ready    atomic.Bool
--- a/process/controller/methods.go
+++ b/process/controller/methods.go
@@ -39,7 +39,7 @@
 	for {
 		state, changed := c.state.Changed()
 		c.sight.saw(args.Report, state.Version)
-		c.observe(args.Report.Evidence)
+		c.evidence.put(args.Report.Evidence)
 		args.Report.Evidence = nil
 		reply.Update = differ.Make(state, c.targetOf(state), args.Have)
 		left := time.Until(until)
@@ -137,6 +137,7 @@
 	for _, s := range args.Sightings {
 		m.c.sight.heard(s, version)
 	}
+	m.c.evidence.put(args.Evidence)
 	return nil
 }
 
--- a/process/controller/nodes.go
+++ b/process/controller/nodes.go
@@ -160,8 +160,8 @@
 	if r.Leader == "" {
 		return
 	}
-	args := messenger.SeenArgs{Sightings: c.sight.untold()}
-	if len(args.Sightings) == 0 {
+	args := messenger.SeenArgs{Sightings: c.sight.untold(), Evidence: c.evidence.take()}
+	if len(args.Sightings)+len(args.Evidence) == 0 {
 		return
 	}
 	call, cancel := context.WithTimeout(ctx, peerTimeout)
--- a/process/controller/operators.go
+++ b/process/controller/operators.go
@@ -17,6 +17,7 @@
 	"github.com/hornbeamrack/hornbeamrack/connection/messenger"
 	"github.com/hornbeamrack/hornbeamrack/process/replicator"
 	"github.com/hornbeamrack/hornbeamrack/version/applier"
+	"github.com/hornbeamrack/hornbeamrack/version/decider"
 	"github.com/hornbeamrack/hornbeamrack/version/validator"
 )
 
@@ -317,6 +318,9 @@
 	if req.Preference == "" {
 		req.Preference = applier.PreferCaution
 	}
+	if why := decider.Feasible(time.Now(), req.Deadline); why != "" {
+		return ctx.Status(fiber.StatusUnprocessableEntity).JSON(applier.Result{EditID: req.EditID, Outcome: applier.OutcomeRefused, Message: why})
+	}
 	return c.run(ctx, applier.BeginMove{
 		EditID: req.EditID, Service: req.Service, From: req.From, To: req.To, Deadline: req.Deadline,
 		Preference: req.Preference, Team: teamOf(ctx), At: time.Now(),
--- a/process/proxier/proxier.go
+++ b/process/proxier/proxier.go
@@ -36,6 +36,7 @@
 	"github.com/hornbeamrack/hornbeamrack/process/subscriber"
 	"github.com/hornbeamrack/hornbeamrack/process/tracer"
 	"github.com/hornbeamrack/hornbeamrack/request/executor"
+	"github.com/hornbeamrack/hornbeamrack/request/observer"
 	"github.com/hornbeamrack/hornbeamrack/request/receiver"
 	"github.com/hornbeamrack/hornbeamrack/version/compiler"
 )
@@ -85,6 +86,7 @@
 	keeper     compiler.Keeper
 	registrar  *registrar.Registrar
 	executor   *executor.Executor
+	observer   *observer.Observer
 	receiver   *receiver.Receiver
 	subscriber *subscriber.Subscriber
 	pool       *messenger.Pool
@@ -112,13 +114,15 @@
 	p.pool = &messenger.Pool{Preface: messenger.PrefaceNode, MaxFrame: messenger.MaxNodeFrame, Wrap: p.Wrap}
 	client := &messenger.Client{Addresses: n.Control, Pool: p.pool}
 	p.registrar = &registrar.Registrar{Queue: n.Queue}
+	p.observer = &observer.Observer{Tables: &p.keeper}
 	p.executor = &executor.Executor{
-		Targets: p.registrar, Claims: messenger.Claims{Client: client}, Tracer: p.Tracer, Lifetime: n.ClaimLifetime.Duration(),
+		Targets: p.registrar, Claims: messenger.Claims{Client: client}, Observer: p.observer,
+		Tracer: p.Tracer, Lifetime: n.ClaimLifetime.Duration(),
 	}
-	p.receiver = &receiver.Receiver{Node: p.Settings.Name, Tables: &p.keeper, Owner: p.executor, Tracer: p.Tracer}
+	p.receiver = &receiver.Receiver{Node: p.Settings.Name, Tables: &p.keeper, Owner: p.executor, Tracer: p.Tracer, Brakes: p.observer}
 	p.subscriber = &subscriber.Subscriber{
 		Node: p.Settings.Name, DataCentre: p.Settings.DataCentre, Address: n.PeerAddress, Addresses: n.Control,
-		Keeper: &p.keeper, Registrar: p.registrar, Client: client, Log: p.Log, Wrap: p.Wrap,
+		Keeper: &p.keeper, Registrar: p.registrar, Evidence: p.observer, Client: client, Log: p.Log, Wrap: p.Wrap,
 	}
 	return nil
 }
--- a/process/subscriber/subscriber.go
+++ b/process/subscriber/subscriber.go
@@ -30,6 +30,7 @@
 	"github.com/hornbeamrack/hornbeamrack/connection/registrar"
 	"github.com/hornbeamrack/hornbeamrack/version/applier"
 	"github.com/hornbeamrack/hornbeamrack/version/compiler"
+	"github.com/hornbeamrack/hornbeamrack/version/decider"
 	"github.com/hornbeamrack/hornbeamrack/version/differ"
 )
 
@@ -44,7 +45,9 @@
 
 // EvidenceProvider gives what the node saw since the last call.
 type EvidenceProvider interface {
-	Take() []applier.Evidence
+	Take() []decider.Evidence
+	// Return takes back what could not be reported.
+	Return(list []decider.Evidence)
 }
 
 // Subscriber is one node's link to the control hosts. Exported fields are set
@@ -143,6 +146,9 @@
 	args := s.args()
 	var reply messenger.SyncReply
 	if err := s.pool.Get(address).Call(call, messenger.MethodSync, args, &reply); err != nil || !reply.Confirmed {
+		if s.Evidence != nil {
+			s.Evidence.Return(args.Report.Evidence)
+		}
 		return false
 	}
 	if err := s.apply(reply.Update, args.Have); err != nil {
--- a/request/executor/executor.go
+++ b/request/executor/executor.go
@@ -98,6 +98,7 @@
 	Service, Version, Route string
 	Unsafe                  bool
 	Failed                  bool
+	Cold                    bool // Cold means that the target has just started.
 	Latency                 time.Duration
 }
 
@@ -340,7 +341,7 @@
 
 func (x *Executor) observe(t *registrar.Target, o Order, failed bool, latency time.Duration) {
 	if x.Observer != nil {
-		x.Observer.Observe(Observation{Service: t.Service, Version: t.Version, Route: o.Route, Unsafe: o.Unsafe, Failed: failed, Latency: latency})
+		x.Observer.Observe(Observation{Service: t.Service, Version: t.Version, Route: o.Route, Unsafe: o.Unsafe, Failed: failed, Cold: t.Cold(), Latency: latency})
 	}
 }
 
--- a/request/receiver/receiver.go
+++ b/request/receiver/receiver.go
@@ -38,6 +38,7 @@
 	"github.com/hornbeamrack/hornbeamrack/request/router"
 	"github.com/hornbeamrack/hornbeamrack/version/applier"
 	"github.com/hornbeamrack/hornbeamrack/version/compiler"
+	"github.com/hornbeamrack/hornbeamrack/version/decider"
 )
 
 const (
@@ -59,6 +60,14 @@
 	Table() *compiler.Table
 }
 
+// BrakeProvider judges moves by this node's own evidence.
+type BrakeProvider interface {
+	// Braked tells whether this node has turned against a move.
+	Braked(moveID string) bool
+	// Judge takes in how one request ended.
+	Judge(e decider.Evidence)
+}
+
 // Owner carries out orders for targets on this node's own host.
 type Owner interface {
 	Execute(req *fasthttp.Request, resp *fasthttp.Response, o executor.Order, done func()) executor.Report
@@ -71,6 +80,7 @@
 	Tables TableProvider
 	Owner  Owner
 	Tracer *tracer.Tracer
+	Brakes BrakeProvider
 	Board  router.Board
 
 	budget   atomic.Int64 // budget is in tenths of an attempt.
@@ -155,7 +165,7 @@
 	if key == "" {
 		key = string(ctx.Request.Header.Peek(checker.HeaderKey))
 	}
-	a.version = router.VersionFor(route.Target.Traffic, key, a.unsafe)
+	a.version = router.VersionFor(route.Target.Traffic, key, a.unsafe, v.Brakes.Braked)
 	if route.Target.Pool(a.version).Empty() {
 		a.version = route.Target.Traffic.Serving
 	}
@@ -229,9 +239,22 @@
 	if report.Outcome == forwarder.OutcomeNotRun || report.Reason == executor.ReasonBroken {
 		v.Board.Penalise(e.EndpointKey)
 	}
+	v.judge(a, e, report)
 	return report
 }
 
+// judge tells the brake how a request ended that may have run.
+func (v *Receiver) judge(a *attempt, e applier.Endpoint, r executor.Report) {
+	m := a.route.Target.Traffic.Move
+	if m == nil || !m.Running() || r.Outcome == forwarder.OutcomeNotRun || r.Replayed || r.Reason == executor.ReasonHeld {
+		return
+	}
+	evidence := decider.Evidence{MoveID: m.ID, New: e.Version == m.To, Route: a.route.Path, Unsafe: a.unsafe}
+	failed := r.Outcome == forwarder.OutcomeUnknown || a.ctx.Response.StatusCode() >= fasthttp.StatusInternalServerError
+	evidence.Add(failed, true, 0)
+	v.Brakes.Judge(evidence)
+}
+
 // sendPeer asks another node to carry out the order.
 func (v *Receiver) sendPeer(a *attempt, e applier.Endpoint, o executor.Order, done func()) executor.Report {
 	req, resp := &a.ctx.Request, &a.ctx.Response
--- a/request/router/router.go
+++ b/request/router/router.go
@@ -10,7 +10,7 @@
 // # Usage
 //
 //	b := &router.Board{}
-//	version := router.VersionFor(service.Traffic, key, nonIdempotent)
+//	version := router.VersionFor(service.Traffic, key, nonIdempotent, braked)
 //	endpoint, ok := b.Pick(service, version, tried)
 //	done := b.Begin(endpoint.EndpointKey)
 //	defer done()
@@ -36,9 +36,10 @@
 )
 
 // VersionFor returns the target version that serves a request with this key.
-// Requests without a key get a random one.
-func VersionFor(t applier.Traffic, key string, nonIdempotent bool) string {
-	if t.Move == nil || !t.Move.Running() {
+// Requests without a key get a random one. braked tells whether this node has
+// turned against a move.
+func VersionFor(t applier.Traffic, key string, nonIdempotent bool, braked func(moveID string) bool) string {
+	if t.Move == nil || !t.Move.Running() || braked(t.Move.ID) {
 		return t.Serving
 	}
 	share := t.Move.Share
--- a/stand/starter/mesh_integration_test.go
+++ b/stand/starter/mesh_integration_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 )
 
@@ -154,6 +155,59 @@
 	is.True(strings.Contains(owners, id)) // the owner's span is in the same trace
 }
 
+// drive sends reads and deposits to every node until ctx ends.
+func drive(ctx context.Context, m *Mesh, wait *conc.WaitGroup) {
+	for i, n := range m.Node {
+		wait.Go(func() {
+			for k := 0; ctx.Err() == nil; k++ {
+				_, _, _ = Get(fmt.Sprintf("http://%s/designs/%d", n.Entry, k))
+				if k%10 == 0 {
+					_, _, _, _ = deposit(n.Entry, fmt.Sprintf("drive-%d-%d", i, k))
+				}
+				time.Sleep(2 * time.Millisecond)
+			}
+		})
+	}
+}
+
+func TestMoves(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, 3)
+	ctx, cancel := context.WithCancel(t.Context())
+	var wait conc.WaitGroup
+	defer wait.Wait()
+	defer cancel()
+	drive(ctx, m, &wait)
+	for _, c := range []struct {
+		name, to string
+		extra    []string
+		code     int
+	}{
+		{"a good version is moved to", "v2", nil, 0},
+		{"a failing version is taken back", "v3", []string{"--fail", "0.5"}, 6},
+	} {
+		for i := range 2 {
+			_, err := m.StartTarget(m.Node[i], fmt.Sprintf("new%d-of-%d", i, len(m.Target)), "designs", c.to, c.extra...)
+			is.NoErr(err)
+		}
+		is.NoErr(Await(ctx, 10*time.Second, c.to+" announced", func() bool {
+			out, _, err := m.Operate("services")
+			return err == nil && strings.Count(out, c.to) == 2
+		}))
+		out, code, err := m.Operate("move", "begin", "designs", "--to", c.to, "--deadline", "45s", "--prefer", "deadline")
+		is.NoErr(err)
+		t.Log(c.name, out)
+		is.Equal(code, 0)
+		out, code, err = m.Operate("move", "watch", "designs")
+		is.NoErr(err)
+		t.Log(out)
+		is.Equal(code, c.code) // as the case says
+	}
+	_, body, err := Get("http://" + m.Node[2].Entry + "/designs/7")
+	is.NoErr(err)
+	is.True(strings.Contains(string(body), "v2")) // v2 serves after v3 was taken back
+}
+
 func TestControlHostKilled(t *testing.T) {
 	is := is.New(t)
 	m := newMesh(t, 2)
--- a/stand/starter/starter.go
+++ b/stand/starter/starter.go
@@ -80,7 +80,6 @@
 	Control []*Control
 	Node    []*Node
 	Target  []*Target
-	ports   []net.Listener
 }
 
 // Token is the token of the only team, "designs".
--- /dev/null
+++ b/version/decider/decider.go
@@ -0,0 +1,234 @@
+// Package decider carries traffic from an old target version to a new one by
+// a deadline, and takes it back when the new one is worse.
+//
+// A move goes through stages of growing shares. Requests that are not
+// idempotent get their first share only after the others have given evidence,
+// and the smallest one. The stages are spread over the time up to the
+// deadline; a stage ends when its time is over and its evidence is clean.
+//
+// The rules where evidence or time is short:
+//
+//   - Too little evidence at the end of a stage: with the preference deadline
+//     the move goes on while nothing is suspicious; with caution it waits, and
+//     is reported as late once the deadline cannot be met any more.
+//   - A suspicion, half of what a finding needs, holds the stage in both cases.
+//   - Too few slots at the new version: its share stays at what they carry.
+//   - A finding: the version is taken back at once, also while it is watched
+//     after the move is done, as long as targets of the old version remain.
+//   - Control hosts away: shares stay as they are; each node brakes by itself
+//     when its own evidence is a finding. The next leader goes on from the
+//     stage that the log holds.
+//
+// # Usage
+//
+//	p := &decider.Plan{}
+//	p.Observe(evidence)
+//	step, ok := p.Next(now, move, capacity)
+//
+// A Plan is the state of one move at the leader; it is rebuilt from evidence
+// after a change of leaders.
+package decider
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/hornbeamrack/hornbeamrack/version/applier"
+)
+
+const (
+	// LeastStageTime is the shortest time of a stage: nodes must learn of the
+	// share and their evidence must come back.
+	LeastStageTime = 2 * time.Second
+	// DecideInterval is the time between two decisions on a move.
+	DecideInterval = 500 * time.Millisecond
+	// WatchTime is how long a finished move is watched at least.
+	WatchTime = 10 * time.Minute
+
+	// usableTime is the part of the time up to the deadline that stages take.
+	usableTime = 0.85
+	// leastPerStage is the number of requests that a stage must see on each route.
+	leastPerStage = 10
+	// leastUnsafe is the number of non-idempotent requests that each stage
+	// needs from the end of the first half on.
+	leastUnsafe = 3
+	// slotUse is the part of the new version's slots that a move may fill.
+	slotUse = 0.7
+)
+
+// stage is one step of the ladder, in basis points.
+type stage struct{ share, unsafeShare int }
+
+// ladder is the way of every move. In its first half, shares stay below 5% of
+// all requests and 1% of those that are not idempotent, so that a version
+// whose fault is there from the beginning never gets more.
+var ladder = []stage{
+	{50, 0}, {100, 10}, {200, 25}, {300, 50}, {450, 90},
+	{1000, 200}, {2500, 500}, {5000, 1500}, {7500, 4000}, {applier.FullShare, 7000}, {applier.FullShare, applier.FullShare},
+}
+
+// firstHalf is the number of stages with the small shares.
+const firstHalf = 5
+
+// Capacity is what the targets can do.
+type Capacity struct {
+	NewSlots int // NewSlots is the number of slots of the new version's targets.
+	OldLeft  int // OldLeft is the number of targets of the old version.
+}
+
+// Step is the next state of a move.
+type Step struct {
+	Share, UnsafeShare int
+	Phase              applier.Phase
+	Reason             string
+	Late               bool
+}
+
+// Plan is the state of one move at the leader. It is not safe for concurrent
+// use.
+type Plan struct {
+	MoveID string
+
+	detector Detector
+	stageAt  time.Time
+	share    int
+	busy     float64 // busy is the average number of requests in flight.
+	closedAt time.Time
+}
+
+// Observe takes in evidence of the open window.
+func (p *Plan) Observe(e Evidence) { p.detector.Add(e) }
+
+// Next ends the open window and returns the next step, if there is one.
+func (p *Plan) Next(now time.Time, m applier.Move, c Capacity) (Step, bool) {
+	p.follow(now, m)
+	p.measure(now)
+	if f := p.detector.Close(); f != nil {
+		return p.takeBack(m, c, f)
+	}
+	if !m.Running() {
+		return Step{}, false
+	}
+	current := stageOf(m)
+	if current < 0 {
+		return ladderStep(0), true
+	}
+	if now.Before(p.stageEnd(m, current)) {
+		return Step{}, false
+	}
+	if why := p.hold(m, current); why != "" {
+		return p.report(now, m, why)
+	}
+	if current == len(ladder)-1 {
+		return Step{Phase: applier.PhaseDone, Reason: doneReason(now, m)}, true
+	}
+	next := ladderStep(current + 1)
+	if limit := p.shareLimit(c); next.Share > limit {
+		return p.report(now, m, fmt.Sprintf("the new version's %d slots carry only %.1f%% of the requests", c.NewSlots, float64(limit)/100))
+	}
+	return next, true
+}
+
+// follow begins a new stage when the log shows another share.
+func (p *Plan) follow(now time.Time, m applier.Move) {
+	if p.stageAt.IsZero() {
+		p.stageAt, p.closedAt = now, now
+		p.share = m.Share + m.UnsafeShare
+	}
+	if p.share != m.Share+m.UnsafeShare {
+		p.share = m.Share + m.UnsafeShare
+		p.stageAt = now
+		p.detector.BeginStage()
+	}
+}
+
+// measure works out how many requests are in flight on average.
+func (p *Plan) measure(now time.Time) {
+	if window := now.Sub(p.closedAt).Seconds(); window > 0 {
+		p.busy = p.detector.openSeconds() / window
+	}
+	p.closedAt = now
+}
+
+func (p *Plan) takeBack(m applier.Move, c Capacity, f *Finding) (Step, bool) {
+	if !m.Running() && (m.Phase != applier.PhaseDone || c.OldLeft == 0) {
+		return Step{}, false
+	}
+	return Step{Phase: applier.PhaseTakenBack, Reason: f.Detail}, true
+}
+
+// hold says why the stage cannot end yet, or nothing.
+func (p *Plan) hold(m applier.Move, current int) string {
+	if p.detector.Suspicious() {
+		return "the new version is under suspicion"
+	}
+	enough := p.detector.Enough(false, leastPerStage) && (current < firstHalf-1 || p.detector.Enough(true, leastUnsafe))
+	if enough {
+		return ""
+	}
+	if m.Preference == applier.PreferDeadline {
+		return ""
+	}
+	return fmt.Sprintf("too little evidence: the new version got %d requests in this stage", p.detector.Seen())
+}
+
+// report tells operators once that the deadline cannot be met.
+func (p *Plan) report(now time.Time, m applier.Move, why string) (Step, bool) {
+	left := len(ladder) - 1 - stageOf(m)
+	late := now.Add(time.Duration(left) * LeastStageTime).After(m.Deadline)
+	if !late || m.Late {
+		return Step{}, false
+	}
+	return Step{Share: m.Share, UnsafeShare: m.UnsafeShare, Phase: applier.PhaseRunning, Late: true, Reason: "late: " + why}, true
+}
+
+// shareLimit is the share that the new version's slots carry.
+func (p *Plan) shareLimit(c Capacity) int {
+	if p.busy <= 0 {
+		return applier.FullShare
+	}
+	return min(applier.FullShare, int(float64(applier.FullShare)*slotUse*float64(c.NewSlots)/p.busy))
+}
+
+// Feasible says why a deadline cannot be met, or nothing.
+func Feasible(now, deadline time.Time) string {
+	least := time.Duration(float64(time.Duration(len(ladder))*(LeastStageTime+DecideInterval)) / usableTime)
+	if deadline.Sub(now) >= least {
+		return ""
+	}
+	return fmt.Sprintf("a move takes at least %s; name a later deadline", least.Round(time.Second))
+}
+
+// stageEnd is the earliest end of the current stage. The stages have their
+// places in the time up to the deadline, so a move that was held up makes up
+// for it in later stages, down to the shortest time of each.
+func (p *Plan) stageEnd(m applier.Move, current int) time.Time {
+	usable := float64(m.Deadline.Sub(m.BegunAt)) * usableTime
+	planned := m.BegunAt.Add(time.Duration(usable * float64(current+1) / float64(len(ladder))))
+	if least := p.stageAt.Add(LeastStageTime); planned.Before(least) {
+		return least
+	}
+	return planned
+}
+
+// stageOf returns the stage that a move is in, -1 before the first.
+func stageOf(m applier.Move) int {
+	at := -1
+	for i, s := range ladder {
+		if m.Share >= s.share && m.UnsafeShare >= s.unsafeShare {
+			at = i
+		}
+	}
+	return at
+}
+
+func ladderStep(i int) Step {
+	return Step{Share: ladder[i].share, UnsafeShare: ladder[i].unsafeShare, Phase: applier.PhaseRunning}
+}
+
+func doneReason(now time.Time, m applier.Move) string {
+	if now.After(m.Deadline) {
+		return fmt.Sprintf("done %s after the deadline", now.Sub(m.Deadline).Round(time.Second))
+	}
+	return fmt.Sprintf("done %s before the deadline", m.Deadline.Sub(now).Round(time.Second))
+}
--- /dev/null
+++ b/version/decider/detector.go
@@ -0,0 +1,187 @@
+package decider
+
+import (
+	"fmt"
+	"math"
+)
+
+const (
+	// alarmScore is the log likelihood ratio at which a version counts as bad.
+	// A cumulative sum reaches it by chance about once in exp(alarmScore) excursions.
+	alarmScore = 14.0
+	// failureExcess is the failure rate above the old version's that the test looks for.
+	failureExcess = 0.05
+	// failureFloor is the least failure rate that is assumed of the old version.
+	failureFloor = 0.002
+	// slowExcess is the share of slow requests above the old version's that the test looks for.
+	slowExcess = 0.3
+	slowFloor  = 0.02
+	// leastBasis is the number of the old version's requests that slowness is judged against.
+	leastBasis = 20.0
+	maxRate    = 0.95
+)
+
+// routeState is the sequential test of one route.
+type routeState struct {
+	unsafe            bool
+	old, new          Tally // old and new are of the window that is open.
+	oldTotal          Tally
+	newTotal          Tally
+	newStage          uint64 // newStage counts the new version's requests since the stage began.
+	base              baseline
+	failScore, slowed float64
+}
+
+// Detector tells whether a new target version is worse than the old one,
+// route by route, from what was seen of both in the same windows. Each route
+// has two cumulative sums, for failures and for slowness; they never fall
+// below zero, so a version that goes bad late is found as fast as one that is
+// bad at once. It is not safe for concurrent use.
+type Detector struct {
+	routes map[string]*routeState
+}
+
+// Add takes evidence into the open window.
+func (d *Detector) Add(e Evidence) {
+	r := d.route(e.Route, e.Unsafe)
+	if e.New {
+		r.new.Merge(e.Tally)
+		return
+	}
+	r.old.Merge(e.Tally)
+}
+
+func (d *Detector) route(name string, unsafe bool) *routeState {
+	if d.routes == nil {
+		d.routes = map[string]*routeState{}
+	}
+	r, ok := d.routes[name]
+	if !ok {
+		r = &routeState{unsafe: unsafe}
+		d.routes[name] = r
+	}
+	return r
+}
+
+// Finding is a route on which the new version is worse.
+type Finding struct {
+	Route  string
+	Detail string
+}
+
+// Close ends the open window and returns what was found, nil when the new
+// version is no worse as far as is known.
+func (d *Detector) Close() *Finding {
+	var worst *Finding
+	for name, r := range d.routes {
+		if f := r.close(name); f != nil && (worst == nil || f.Route < worst.Route) {
+			worst = f
+		}
+	}
+	return worst
+}
+
+func (r *routeState) close(name string) *Finding {
+	// The old version's requests of this window count before the new one's
+	// are judged: a fault that hits both is nobody's.
+	r.base.add(r.old)
+	r.oldTotal.Merge(r.old)
+	r.newTotal.Merge(r.new)
+	r.newStage += r.new.Requests
+	r.judgeFailures()
+	r.judgeSlowness()
+	r.old, r.new = Tally{}, Tally{}
+	switch {
+	case r.failScore >= alarmScore:
+		return &Finding{Route: name, Detail: fmt.Sprintf("route %s: %d of %d requests to the new version failed, %d of %d to the old one",
+			name, r.newTotal.Failures, r.newTotal.Requests, r.oldTotal.Failures, r.oldTotal.Requests)}
+	case r.slowed >= alarmScore:
+		return &Finding{Route: name, Detail: fmt.Sprintf("route %s: the new version takes %.1f ms on average, the old one %.1f ms",
+			name, r.newTotal.meanMillis(), r.oldTotal.meanMillis())}
+	}
+	return nil
+}
+
+func (t Tally) meanMillis() float64 { return 1000 * t.Seconds / math.Max(float64(t.Requests), 1) }
+
+func (r *routeState) judgeFailures() {
+	if r.new.Requests == 0 {
+		return
+	}
+	p0 := r.base.failureRate(failureFloor)
+	if r.old.Requests > 0 {
+		window := (float64(r.old.Failures) + smoothFailures) / (float64(r.old.Requests) + 1)
+		if r.old.Failures > 0 {
+			p0 = max(p0, window)
+		}
+	}
+	r.failScore = score(r.failScore, min(p0, maxRate), failureExcess, float64(r.new.Failures), float64(r.new.Requests))
+}
+
+func (r *routeState) judgeSlowness() {
+	from, rate, ok := r.base.slowFrom(leastBasis)
+	if !ok || len(r.new.Buckets) == 0 {
+		return
+	}
+	total, slow := 0.0, 0.0
+	for i, n := range r.new.Buckets {
+		total += float64(n)
+		if i >= from {
+			slow += float64(n)
+		}
+	}
+	r.slowed = score(r.slowed, max(min(rate, maxRate), slowFloor), slowExcess, slow, total)
+}
+
+// score adds a window's log likelihood ratio of the rate p0+excess against p0.
+func score(old, p0, excess, hits, total float64) float64 {
+	p1 := p0 + excess*(1-p0)
+	step := hits*math.Log(p1/p0) + (total-hits)*math.Log((1-p1)/(1-p0))
+	return max(old+step, 0)
+}
+
+// Enough reports whether each route of the kind has seen least requests of the
+// new version in this stage, or has no traffic at all.
+func (d *Detector) Enough(unsafe bool, least uint64) bool {
+	for _, r := range d.routes {
+		if r.unsafe == unsafe && r.newStage < least && r.oldTotal.Requests > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Seen returns the requests of the new version in this stage.
+func (d *Detector) Seen() uint64 {
+	n := uint64(0)
+	for _, r := range d.routes {
+		n += r.newStage
+	}
+	return n
+}
+
+// Suspicious reports whether any route is on its way to an alarm.
+func (d *Detector) Suspicious() bool {
+	for _, r := range d.routes {
+		if r.failScore > alarmScore/2 || r.slowed > alarmScore/2 {
+			return true
+		}
+	}
+	return false
+}
+
+// BeginStage counts the new version's requests anew.
+func (d *Detector) BeginStage() {
+	for _, r := range d.routes {
+		r.newStage = 0
+	}
+}
+
+// openSeconds returns the sum of the latencies in the open window.
+func (d *Detector) openSeconds() float64 {
+	s := 0.0
+	for _, r := range d.routes {
+		s += r.old.Seconds + r.new.Seconds
+	}
+	return s
+}
