--- /dev/null
+++ b/process/recorder/recorder_test.go
@@ -0,0 +1,144 @@
+package recorder_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/hornbeamrack/hornbeamrack/process/recorder"
+	"github.com/hornbeamrack/hornbeamrack/process/recorder/faker"
+)
+
+func entry(i uint64) recorder.Entry {
+	return recorder.Entry{Index: i, Term: 1, Data: []byte(fmt.Sprintf("entry %d", i))}
+}
+
+func open(t *testing.T, d recorder.Disk) (*recorder.Recorder, recorder.State, error) {
+	t.Helper()
+	r := &recorder.Recorder{Disk: d}
+	s, err := r.Open()
+	return r, s, err
+}
+
+// written returns a disk with n synced records and the log's length after each.
+func written(t *testing.T, n uint64) (*faker.Disk, []int) {
+	is := is.New(t)
+	d := &faker.Disk{}
+	r, _, err := open(t, d)
+	is.NoErr(err)
+	var ends []int
+	for i := uint64(1); i <= n; i++ {
+		is.NoErr(r.Save(recorder.Batch{Hard: &recorder.Hard{Term: 1}, Entries: []recorder.Entry{entry(i)}}))
+		b, err := d.Read("log-0000000000000000")
+		is.NoErr(err)
+		ends = append(ends, len(b))
+	}
+	return d, ends
+}
+
+func TestTornTailIsCut(t *testing.T) {
+	d, ends := written(t, 3)
+	last := ends[2] - ends[1]
+	for keep := range last {
+		is := is.New(t)
+		d, _ := written(t, 2)
+		r, _, err := open(t, d)
+		is.NoErr(err)
+		d.Limited, d.Budget = true, 1 // the write succeeds, its sync never returns
+		is.True(recorder.IsKind(r.Save(recorder.Batch{Hard: &recorder.Hard{Term: 1}, Entries: []recorder.Entry{entry(3)}}), recorder.KindIO))
+		is.True(recorder.IsKind(r.Save(recorder.Batch{}), recorder.KindFailed)) // nothing more after a failed sync
+		d.Crash(keep)
+		d.Limited = false
+		_, s, err := open(t, d)
+		is.NoErr(err)
+		is.Equal(len(s.Entries), 2)
+		is.Equal(s.Cut, keep)
+	}
+	_ = d
+}
+
+// TestDamageIsNotCut flips every byte of the log: no acknowledged entry may go
+// without an error.
+func TestDamageIsNotCut(t *testing.T) {
+	_, ends := written(t, 3)
+	for at := range ends[2] {
+		is := is.New(t)
+		d, _ := written(t, 3)
+		d.Corrupt("log-0000000000000000", at)
+		_, s, err := open(t, d)
+		if err == nil {
+			t.Fatalf("byte %d flipped, %d entries of 3 and no error", at, len(s.Entries))
+		}
+		is.True(recorder.IsKind(err, recorder.KindDamaged))
+	}
+}
+
+func TestSnapshotReplacesLog(t *testing.T) {
+	// A crash after any number of steps of the compaction loses nothing.
+	for budget := range 12 {
+		is := is.New(t)
+		d, _ := written(t, 5)
+		r, _, err := open(t, d)
+		is.NoErr(err)
+		d.Limited, d.Budget = true, budget
+		_ = r.Compact(recorder.Snapshot{Index: 3, Term: 1, Data: []byte("state")}, []recorder.Entry{entry(4), entry(5)})
+		d.Crash(0)
+		d.Limited = false
+		_, s, err := open(t, d)
+		is.NoErr(err)
+		is.Equal(s.Snapshot.Index+uint64(len(s.Entries)), uint64(5))
+		is.Equal(s.Hard.Term, uint64(1))
+	}
+}
+
+func TestOverwrittenEntriesAreGone(t *testing.T) {
+	is := is.New(t)
+	d, _ := written(t, 4)
+	r, _, err := open(t, d)
+	is.NoErr(err)
+	changed := recorder.Entry{Index: 2, Term: 2, Data: []byte("other")}
+	is.NoErr(r.Save(recorder.Batch{Entries: []recorder.Entry{changed}}))
+	_, s, err := open(t, d)
+	is.NoErr(err)
+	is.Equal(s.Entries, []recorder.Entry{entry(1), changed})
+}
+
+func TestIdentityIsMintedOnce(t *testing.T) {
+	is := is.New(t)
+	d := &faker.Disk{}
+	b, err := recorder.ReadIdentity(d)
+	is.NoErr(err)
+	is.Equal(b, nil)
+	is.NoErr(recorder.WriteIdentity(d, []byte("me")))
+	b, err = recorder.ReadIdentity(d)
+	is.NoErr(err)
+	is.Equal(string(b), "me")
+	d.Corrupt("identity", 3)
+	_, err = recorder.ReadIdentity(d)
+	is.True(recorder.IsKind(err, recorder.KindDamaged))
+}
+
+func FuzzReplay(f *testing.F) {
+	d := &faker.Disk{}
+	r := &recorder.Recorder{Disk: d}
+	if _, err := r.Open(); err != nil {
+		f.Fatal(err)
+	}
+	_ = r.Save(recorder.Batch{Entries: []recorder.Entry{entry(1)}})
+	seed, _ := d.Read("log-0000000000000000")
+	f.Add(seed)
+	f.Add([]byte{})
+	f.Add(make([]byte, 600))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		d := &faker.Disk{}
+		if err := d.Replace("log-0000000000000000", raw); err != nil {
+			t.Fatal(err)
+		}
+		r := &recorder.Recorder{Disk: d}
+		s, err := r.Open()
+		if err == nil && s.Cut > len(raw) {
+			t.Fatal("cut more than there was")
+		}
+	})
+}
--- a/process/replicator/replicator.go
+++ b/process/replicator/replicator.go
@@ -86,10 +86,11 @@
 	Recorder          *recorder.Recorder
 	Applier           Applier
 	Sender            Sender
-	ElectionTimeout   time.Duration // ElectionTimeout is DefaultElectionTimeout when zero.
-	HeartbeatInterval time.Duration // HeartbeatInterval is DefaultHeartbeatInterval when zero.
-	SnapshotBytes     int           // SnapshotBytes is DefaultSnapshotBytes when zero.
-	Seed              uint64        // Seed spreads elections; it differs between members.
+	ElectionTimeout   time.Duration    // ElectionTimeout is DefaultElectionTimeout when zero.
+	HeartbeatInterval time.Duration    // HeartbeatInterval is DefaultHeartbeatInterval when zero.
+	SnapshotBytes     int              // SnapshotBytes is DefaultSnapshotBytes when zero.
+	Seed              uint64           // Seed spreads elections; it differs between members.
+	Now               func() time.Time // Now is time.Now when nil.
 
 	core     *Core
 	inbox    chan event
@@ -157,9 +158,12 @@
 		ID: g.ID, ElectionTimeout: g.ElectionTimeout, HeartbeatInterval: g.HeartbeatInterval,
 		Rand: rand.New(rand.NewPCG(g.Seed, uint64(len(g.Name)))),
 	}
-	if err := g.core.Start(time.Now(), state, initial); err != nil {
+	if err := g.core.Start(g.Now(), state, initial); err != nil {
 		return err
 	}
+	for _, e := range state.Entries {
+		g.logBytes += len(e.Data)
+	}
 	g.applied = state.Snapshot.Index
 	g.publish()
 	return nil
@@ -175,6 +179,9 @@
 	if g.SnapshotBytes == 0 {
 		g.SnapshotBytes = DefaultSnapshotBytes
 	}
+	if g.Now == nil {
+		g.Now = time.Now
+	}
 	g.inbox = make(chan event, inboxEvents)
 	g.waiting = map[uint64]waiter{}
 	g.done = make(chan struct{})
@@ -191,7 +198,7 @@
 		case <-ctx.Done():
 			return g.Recorder.Close()
 		case <-ticker.C:
-			g.core.Tick(time.Now())
+			g.core.Tick(g.Now())
 		case e := <-g.inbox:
 			g.handle(e)
 			g.drain()
@@ -221,7 +228,7 @@
 func (g *Group) handle(e event) {
 	switch e := e.(type) {
 	case received:
-		g.core.Step(time.Now(), e.envelope)
+		g.core.Step(g.Now(), e.envelope)
 	case proposal:
 		index, err := g.core.Propose(recorder.EntryCommand, e.data)
 		g.await(index, err, e.result)
@@ -234,7 +241,7 @@
 		index, err := g.core.ProposeMembership(to)
 		g.await(index, err, e.result)
 	case confirm:
-		index, ok := g.core.Confirm(time.Now())
+		index, ok := g.core.Confirm(g.Now())
 		if !ok {
 			e.result <- outcome{err: &Error{"confirm", KindNotLeader, errors.Errorf("leader is %q", g.core.leader)}}
 			return
--- a/stand/starter/starter.go
+++ b/stand/starter/starter.go
@@ -221,6 +221,13 @@
 	return n.start(exec.Command(filepath.Join(m.Bin, "hornbeamd"), "run", "--settings", n.settings))
 }
 
+// StartSettings starts a daemon with settings of the caller's own.
+func (m *Mesh) StartSettings(name, admin, announce, settings string) (*Node, error) {
+	n := &Node{Process: &Process{Name: name, Admin: admin}, Announce: announce, settings: settings}
+	m.Node = append(m.Node, n)
+	return n, m.StartNode(n)
+}
+
 // StartTarget starts a stand-in target beside a node.
 func (m *Mesh) StartTarget(n *Node, name, service, version string, extra ...string) (*Target, error) {
 	address, err := FreeAddress()
--- a/version/applier/applier.go
+++ b/version/applier/applier.go
@@ -18,6 +18,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -176,11 +177,16 @@
 		return s, refusedAt(s, err)
 	}
 	next.Version++
-	next = next.WithEvent(Event{Index: index, At: c.At, Kind: "section" + string(c.Action), Subject: c.Section,
+	next = next.WithEvent(Event{Index: index, At: c.At, Kind: eventKind("section", string(c.Action)), Subject: c.Section,
 		Detail: fmt.Sprintf("revision %d by team %s", revision.Number, c.Team)})
 	return next, Result{Outcome: OutcomeAccepted, Version: next.Version, Revision: revision.Number}
 }
 
+// eventKind joins a subject and what happened to it in camel case.
+func eventKind(subject, what string) string {
+	return subject + strings.ToUpper(what[:1]) + what[1:]
+}
+
 func refusedAt(s State, err error) Result {
 	r := refused(s, err.Error())
 	var place *decoder.Error
@@ -293,7 +299,7 @@
 	}
 	s.Version++
 	t.Move, t.Modified = &m, s.Version
-	return s.WithTraffic(t).WithEvent(Event{Index: index, At: at, Kind: "move" + string(phase), Subject: m.Service,
+	return s.WithTraffic(t).WithEvent(Event{Index: index, At: at, Kind: eventKind("move", string(phase)), Subject: m.Service,
 		Detail: fmt.Sprintf("%s to %s: %s", m.From, m.To, reason)})
 }
 
