--- a/common/decoder/decoder.go
+++ b/common/decoder/decoder.go
@@ -210,6 +210,13 @@
 // wrap turns an error of the YAML library into an Error.
 func wrap(file string, raw []byte, out any, err error) error {
 	e := &Error{Op: "decode", Kind: KindSyntax, File: file, Line: 1, Column: 1, Message: err.Error()}
+	var own *Error
+	if errors.As(err, &own) {
+		located := *own
+		located.File = file
+		located.Excerpt = excerpt(raw, own.Line)
+		return &located
+	}
 	var unknown *yaml.UnknownFieldError
 	if errors.As(err, &unknown) {
 		e.Kind = KindUnknown
@@ -240,10 +247,16 @@
 		return
 	}
 	e.Line, e.Column = t.Position.Line, t.Position.Column
+	e.Excerpt = excerpt(raw, e.Line)
+}
+
+// excerpt returns one line of the input.
+func excerpt(raw []byte, line int) string {
 	lines := strings.Split(string(raw), "\n")
-	if e.Line >= 1 && e.Line <= len(lines) {
-		e.Excerpt = strings.TrimSpace(lines[e.Line-1])
+	if line < 1 || line > len(lines) {
+		return ""
 	}
+	return strings.TrimSpace(lines[line-1])
 }
 
 // keysOf lists every key that a type knows, at any depth.
@@ -277,18 +290,18 @@
 // Duration returns the span in the standard type.
 func (s Span) Duration() time.Duration { return time.Duration(s) }
 
-// UnmarshalYAML implements yaml.BytesUnmarshaler.
-func (s *Span) UnmarshalYAML(raw []byte) error {
-	text := strings.Trim(strings.TrimSpace(string(raw)), `"'`)
+// UnmarshalYAML implements yaml.NodeUnmarshaler, which knows the place of the
+// value.
+func (s *Span) UnmarshalYAML(node ast.Node) error {
+	text := strings.Trim(strings.TrimSpace(node.String()), `"'`)
 	d, err := time.ParseDuration(text)
-	if err != nil {
-		return errors.Errorf("%q is not a length of time with its unit; write it like 250ms, 5s or 24h", text)
-	}
-	if d < 0 {
-		return errors.Errorf("%q is negative", text)
+	if err == nil && d >= 0 {
+		*s = Span(d)
+		return nil
 	}
-	*s = Span(d)
-	return nil
+	e := &Error{Op: "decode", Kind: KindValue, Message: fmt.Sprintf("%q is not a length of time with its unit", text), Mend: "write it like 250ms, 5s or 24h"}
+	setPosition(e, nil, node.GetToken())
+	return e
 }
 
 // MarshalYAML implements yaml.BytesMarshaler.
--- a/request/executor/executor.go
+++ b/request/executor/executor.go
@@ -355,7 +355,7 @@
 	switch e.Kind {
 	case forwarder.KindDial, forwarder.KindNoConn:
 		return ReasonDial
-	case forwarder.KindTimeout:
+	case forwarder.KindTimeout, forwarder.KindExpired:
 		return ReasonDeadline
 	}
 	return ReasonBroken
--- a/request/forwarder/forwarder.go
+++ b/request/forwarder/forwarder.go
@@ -54,6 +54,7 @@
 const (
 	KindDial    Kind = "dial"
 	KindNoConn  Kind = "noConnection"
+	KindExpired Kind = "expired" // KindExpired means that the deadline had passed before the request was sent.
 	KindTimeout Kind = "timeout"
 	KindBroken  Kind = "broken"
 )
@@ -77,7 +78,7 @@
 	switch {
 	case err == nil:
 		return OutcomeRan
-	case errors.As(err, &e) && (e.Kind == KindDial || e.Kind == KindNoConn):
+	case errors.As(err, &e) && (e.Kind == KindDial || e.Kind == KindNoConn || e.Kind == KindExpired):
 		return OutcomeNotRun
 	}
 	return OutcomeUnknown
@@ -123,7 +124,7 @@
 	return nil
 }
 
-var errPassed = &Error{"do", KindNoConn, errors.New("the deadline has passed")}
+var errPassed = &Error{"do", KindExpired, errors.New("the deadline has passed")}
 
 // streamBody reads the body of inner. It implements
 // fasthttp.ReadCloserWithError, so that a connection whose body was not read
--- /dev/null
+++ b/request/receiver/outcome_test.go
@@ -0,0 +1,318 @@
+package receiver
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/hornbeamrack/hornbeamrack/request/claimer"
+	"github.com/hornbeamrack/hornbeamrack/request/executor"
+)
+
+var errCut = errors.New("cut by the test")
+
+// fakeTarget counts what ran and can be told what to do before and after.
+type fakeTarget struct {
+	mu     sync.Mutex
+	runs   map[string]int
+	answer func(ctx *fasthttp.RequestCtx)
+}
+
+func (f *fakeTarget) ran(key string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.runs[key]
+}
+
+func (f *fakeTarget) handle(ctx *fasthttp.RequestCtx) {
+	f.mu.Lock()
+	if f.runs == nil {
+		f.runs = map[string]int{}
+	}
+	f.runs[string(ctx.Request.Header.Peek("Idempotency-Key"))]++
+	f.mu.Unlock()
+	if f.answer != nil {
+		f.answer(ctx)
+		return
+	}
+	ctx.SetBodyString("done")
+}
+
+// hangUp closes the connection without an answer.
+func hangUp(ctx *fasthttp.RequestCtx) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) { _ = c.Close() })
+}
+
+// TestAtMostOnce has one row for each step of the road at which something can
+// be lost. Each row sends a deposit, then sends it again through another node
+// until it is answered or known to be undecidable.
+func TestAtMostOnce(t *testing.T) {
+	only := func(a claimer.Action) func(claimer.Command) error {
+		return func(c claimer.Command) error {
+			if c.Action == a {
+				return errCut
+			}
+			return nil
+		}
+	}
+	cases := []struct {
+		name    string
+		disturb func(c *claims, f *fakeTarget)
+		first   string // first is the outcome of the first sending.
+		again   string // again is the outcome after everything works again.
+		runs    int
+	}{
+		{"nothing fails", func(*claims, *fakeTarget) {}, "ran", "ran", 1},
+		{"claim never reaches a control host", func(c *claims, _ *fakeTarget) { c.before = only(claimer.ActionClaim) }, "notRun", "ran", 1},
+		{"claim granted, its answer lost", func(c *claims, _ *fakeTarget) { c.after = only(claimer.ActionClaim) }, "notRun", "ran", 1},
+		{"owner dies with the claim, before the hand-over", func(c *claims, _ *fakeTarget) {
+			c.register.Run(claimer.Command{Key: "designs\x00k", Attempt: "dead", Fingerprint: depositFingerprint("k"), Action: claimer.ActionClaim, At: time.Now(), ExpiresAt: time.Now().Add(time.Hour)})
+		}, "unknown", "unknown", 0},
+		{"target dies while it runs the deposit", func(_ *claims, f *fakeTarget) { f.answer = hangUp }, "unknown", "unknown", 1},
+		{"target answers too late", func(_ *claims, f *fakeTarget) {
+			f.answer = func(ctx *fasthttp.RequestCtx) { time.Sleep(1500 * time.Millisecond) }
+		}, "unknown", "unknown", 1},
+		{"answer never stored", func(c *claims, _ *fakeTarget) { c.before = only(claimer.ActionSettle) }, "ran", "unknown", 1},
+		{"storing the answer is unconfirmed", func(c *claims, _ *fakeTarget) { c.after = only(claimer.ActionSettle) }, "ran", "ran", 1},
+		{"target cuts its answer", func(_ *claims, f *fakeTarget) {
+			f.answer = func(ctx *fasthttp.RequestCtx) {
+				ctx.HijackSetNoResponse(true)
+				ctx.Hijack(func(c net.Conn) {
+					_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf"))
+					_ = c.Close()
+				})
+			}
+		}, "unknown", "unknown", 1},
+	}
+	for _, row := range cases {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			c, f := &claims{}, &fakeTarget{}
+			a, b := newNode(t, "a", c), newNode(t, "b", c)
+			address, _ := listen(t, f.handle)
+			announce(t, a, "t1", address)
+			announce(t, b, "t2", address)
+			put(t, 1, a, b)
+			row.disturb(c, f)
+			first := call(t, a.entry, "POST", "/deposits", "k")
+			t.Logf("first: %+v, ran %d", first, f.ran("k"))
+			is.Equal(first.outcome, row.first)
+			if first.outcome == "notRun" {
+				is.Equal(f.ran("k"), 0)
+			}
+			if row.again == "unknown" {
+				f.answer = nil // the target works again, and yet must not run it
+			} else {
+				c.before, c.after, f.answer = nil, nil, nil
+			}
+			last := call(t, b.entry, "POST", "/deposits", "k")
+			for limit := time.Now().Add(5 * time.Second); last.outcome != row.again && time.Now().Before(limit); {
+				last = call(t, b.entry, "POST", "/deposits", "k")
+			}
+			t.Logf("again: %+v, ran %d", last, f.ran("k"))
+			is.Equal(last.outcome, row.again)
+			is.Equal(f.ran("k"), row.runs)
+			if row.first == "ran" && row.again == "ran" {
+				is.Equal(last.body, first.body) // the stored answer
+			}
+		})
+	}
+}
+
+func depositFingerprint(key string) uint64 {
+	var req fasthttp.Request
+	req.SetRequestURI("http://x/deposits")
+	req.Header.SetMethod("POST")
+	req.SetBodyString("body of " + key)
+	return executor.Fingerprint(&req)
+}
+
+// TestNotRunNeverRan refuses requests for every reason there is: none of them
+// reaches a target.
+func TestNotRunNeverRan(t *testing.T) {
+	is := is.New(t)
+	c, f := &claims{}, &fakeTarget{}
+	a, b := newNode(t, "a", c), newNode(t, "b", c)
+	got := call(t, a.entry, "GET", "/designs/1", "")
+	is.Equal(got.reason, "notReady")
+	address, _ := listen(t, f.handle)
+	announce(t, b, "t1", address)
+	put(t, 1, a, b)
+	rows := []struct{ name, method, path, header, value, reason string }{
+		{"no route", "GET", "/nowhere", "", "", "noRoute"},
+		{"deadline passed", "GET", "/designs/1", "Hornbeam-Deadline", "1", "deadline"},
+		{"deadline malformed", "GET", "/designs/1", "Hornbeam-Deadline", "soon", "badRequest"},
+		{"forged order", "GET", "/designs/1", "Hornbeam-Order", "x", "badRequest"},
+		{"forged outcome", "POST", "/deposits", "hornbeam-OUTCOME", "ran", "badRequest"},
+		{"key too long", "POST", "/deposits", "Idempotency-Key", strings.Repeat("k", 200), "badRequest"},
+	}
+	for _, row := range rows {
+		got := call(t, a.entry, row.method, row.path, "", row.header, row.value)
+		t.Logf("%s: %+v", row.name, got)
+		is.Equal(got.outcome, "notRun")
+		is.Equal(got.reason, row.reason)
+	}
+	is.NoErr(b.targets.Leave("t1"))
+	is.Equal(call(t, a.entry, "POST", "/deposits", "left").reason, "noTarget")
+	// A target that nobody listens behind.
+	gone, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	announce(t, b, "t2", gone.Addr().String())
+	is.NoErr(gone.Close())
+	put(t, 2, a, b)
+	got = call(t, a.entry, "POST", "/deposits", "refused")
+	is.Equal(got.outcome, "notRun")
+	// Ambiguous requests, byte by byte.
+	for _, raw := range []string{
+		"POST /deposits HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"POST /deposits HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+		"GET /designs/1 HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+		"GET /designs/1 HTTP/1.1\r\nHost: a\r\nHornbeam-Order : x\r\n\r\n",
+	} {
+		conn, err := net.Dial("tcp", a.entry)
+		is.NoErr(err)
+		_, err = conn.Write([]byte(raw))
+		is.NoErr(err)
+		_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		line, _ := bufio.NewReader(conn).ReadString('\n')
+		t.Logf("%q: %q", raw, line)
+		is.True(strings.Contains(line, " 400 ") || line == "")
+		is.NoErr(conn.Close())
+	}
+	is.Equal(len(f.runs), 0) // nothing ever reached the target
+}
+
+// TestAnswersNeverCrossed mixes late, cut and foreign answers with many
+// callers: each whole answer is the caller's own.
+func TestAnswersNeverCrossed(t *testing.T) {
+	is := is.New(t)
+	c := &claims{}
+	a, b := newNode(t, "a", c), newNode(t, "b", c)
+	var n atomic.Int64
+	address, _ := listen(t, func(ctx *fasthttp.RequestCtx) {
+		i := n.Add(1)
+		body := "answer to " + string(ctx.Path())
+		ctx.Response.Header.SetBytesV("X-Request-Id", ctx.Request.Header.Peek("X-Request-Id"))
+		switch i % 11 {
+		case 3:
+			ctx.Response.Header.Set("X-Request-Id", "somebody-else")
+		case 5:
+			time.Sleep(60 * time.Millisecond) // past the caller's deadline
+		case 7:
+			hangUp(ctx)
+			return
+		}
+		ctx.SetBodyString(body)
+	})
+	announce(t, b, "t1", address)
+	put(t, 1, a, b)
+	var wait sync.WaitGroup
+	var wrong, ran atomic.Int64
+	for i := range 12 {
+		wait.Go(func() {
+			for k := range 60 {
+				path := fmt.Sprintf("/designs/%d-%d", i, k)
+				got := call(t, a.entry, "GET", path, "", "Hornbeam-Deadline", fmt.Sprint(time.Now().Add(40*time.Millisecond).UnixMilli()))
+				if got.outcome != "ran" {
+					continue
+				}
+				ran.Add(1)
+				if got.body != "answer to "+path {
+					wrong.Add(1)
+				}
+			}
+		})
+	}
+	wait.Wait()
+	t.Logf("%d of 720 answered by the target", ran.Load())
+	is.Equal(wrong.Load(), int64(0))
+	is.True(ran.Load() > 0)
+}
+
+// TestTruncatedStreams makes sure that a caller can tell a cut answer from a
+// whole one, for answers with and without a length.
+func TestTruncatedStreams(t *testing.T) {
+	for _, head := range []string{"Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", "Content-Length: 100\r\n\r\nhalf"} {
+		is := is.New(t)
+		c := &claims{}
+		a, b := newNode(t, "a", c), newNode(t, "b", c)
+		address, _ := listen(t, func(ctx *fasthttp.RequestCtx) {
+			ctx.HijackSetNoResponse(true)
+			ctx.Hijack(func(conn net.Conn) {
+				_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\n" + head))
+				time.Sleep(20 * time.Millisecond)
+				_ = conn.Close()
+			})
+		})
+		announce(t, b, "t1", address)
+		put(t, 1, a, b)
+		status, body, err := fasthttp.Get(nil, "http://"+a.entry+"/previews/1")
+		t.Logf("%q: status %d, %q, %v", head, status, body, err)
+		refused := status == fasthttp.StatusBadGateway && strings.Contains(string(body), "unknown")
+		is.True(err != nil || refused) // the caller sees that the answer is not whole
+		target, _ := b.targets.Find("t1")
+		for limit := time.Now().Add(5 * time.Second); target.Limiter.Used() > 0 && time.Now().Before(limit); {
+			time.Sleep(time.Millisecond)
+		}
+		is.Equal(target.Limiter.Used(), 0) // its slot is free again
+	}
+}
+
+// TestLeavingTargetGetsNoNewWork lets a target leave under load while other
+// nodes still have the old table.
+func TestLeavingTargetGetsNoNewWork(t *testing.T) {
+	is := is.New(t)
+	c := &claims{}
+	a, b := newNode(t, "a", c), newNode(t, "b", c)
+	var left atomic.Bool
+	var late, cut atomic.Int64
+	leaving, _ := listen(t, func(ctx *fasthttp.RequestCtx) {
+		if left.Load() {
+			late.Add(1)
+		}
+		time.Sleep(5 * time.Millisecond)
+		ctx.SetBodyString("ok")
+	})
+	staying, _ := listen(t, func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok") })
+	announce(t, b, "t1", leaving)
+	announce(t, a, "t2", staying)
+	put(t, 1, a, b)
+	var wait sync.WaitGroup
+	stop := make(chan struct{})
+	for i := range 8 {
+		wait.Go(func() {
+			for k := 0; ; k++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if got := call(t, a.entry, "POST", "/deposits", fmt.Sprintf("%d-%d", i, k)); got.status != 200 {
+					cut.Add(1)
+				}
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	is.NoErr(b.targets.Leave("t1"))
+	target, _ := b.targets.Find("t1")
+	for limit := time.Now().Add(5 * time.Second); target.Limiter.Used() > 0 && time.Now().Before(limit); {
+		time.Sleep(time.Millisecond)
+	}
+	left.Store(true)
+	time.Sleep(200 * time.Millisecond)
+	close(stop)
+	wait.Wait()
+	is.Equal(late.Load(), int64(0)) // no new work, though node a's table still names it
+	is.Equal(cut.Load(), int64(0))  // every request got its answer, from the other target
+}
--- a/request/receiver/receiver_test.go
+++ b/request/receiver/receiver_test.go
@@ -140,7 +140,9 @@
 		req.Header.Set("Idempotency-Key", key)
 	}
 	for i := 0; i+1 < len(headers); i += 2 {
-		req.Header.Set(headers[i], headers[i+1])
+		if headers[i] != "" {
+			req.Header.Set(headers[i], headers[i+1])
+		}
 	}
 	if method == fasthttp.MethodPost {
 		req.SetBodyString("body of " + key)
