Planned stops, convergence and herd restarts on real processes

Cause: the promises about stops, convergence and herds were argued, not run.

Change: three tests with the real programs. Deposits with keys of their own run while a node, each control host in turn and a target are stopped in the planned way; edits run while a control host is killed; eight nodes and three control hosts are killed at once and started again.

--- /dev/null
+++ b/stand/starter/promise_integration_test.go
@@ -0,0 +1,163 @@
+package starter
+
+import (
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+)
+
+// load is a set of callers that retry only what was certainly not run.
+type load struct {
+	stop            chan struct{}
+	wait            conc.WaitGroup
+	ran, notRun     atomic.Int64
+	unknown, broken atomic.Int64
+	lastFault       atomic.Value
+	entries         []string
+	client          fasthttp.Client
+}
+
+// start sends deposits with keys of their own to the entries.
+func (l *load) start(callers int, prefix string) {
+	l.stop = make(chan struct{})
+	l.client.MaxIdemponentCallAttempts = 1
+	for i := range callers {
+		l.wait.Go(func() {
+			for k := 0; ; k++ {
+				select {
+				case <-l.stop:
+					return
+				default:
+					l.deposit(l.entries[(i+k)%len(l.entries)], fmt.Sprintf("%s-%d-%d", prefix, i, k))
+				}
+			}
+		})
+	}
+}
+
+func (l *load) deposit(entry, key string) {
+	_, outcome, body, err := deposit(entry, key)
+	switch {
+	case err != nil:
+		l.broken.Add(1)
+		l.lastFault.Store(err.Error())
+	case outcome == "ran":
+		l.ran.Add(1)
+	case outcome == "notRun":
+		l.notRun.Add(1)
+		l.lastFault.Store(body)
+	default:
+		l.unknown.Add(1)
+		l.lastFault.Store(body)
+	}
+}
+
+func (l *load) end(t *testing.T, what string) {
+	close(l.stop)
+	l.wait.Wait()
+	t.Logf("%s: %d ran, %d not run, %d unknown, %d broken, last fault %v", what, l.ran.Load(), l.notRun.Load(), l.unknown.Load(), l.broken.Load(), l.lastFault.Load())
+}
+
+// TestPlannedStopCutsNothing stops a node, a control host and a target under
+// load: no request is cut, and none is left in doubt.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, 3)
+	// Callers use nodes 1 and 3; node 2 is stopped as an owner, and control
+	// hosts and a target after it.
+	l := &load{entries: []string{m.Node[0].Entry, m.Node[2].Entry}}
+	l.start(6, "stop")
+	time.Sleep(500 * time.Millisecond)
+	is.NoErr(m.Node[1].Stop())
+	is.NoErr(m.StartNode(m.Node[1]))
+	is.NoErr(m.Node[1].WaitReady(t.Context()))
+	for _, c := range m.Control {
+		is.NoErr(c.Stop())
+		is.NoErr(m.StartControl(c))
+		is.NoErr(c.WaitReady(t.Context()))
+	}
+	_, err := m.StartTarget(m.Node[2], "t3", "designs", "v1")
+	is.NoErr(err)
+	is.NoErr(Await(t.Context(), 10*time.Second, "t3 announced", func() bool {
+		out, _, err := m.Operate("services")
+		return err == nil && strings.Contains(out, "t3")
+	}))
+	is.NoErr(m.Target[0].Stop())
+	l.end(t, "planned stops")
+	is.Equal(l.broken.Load(), int64(0))
+	is.Equal(l.unknown.Load(), int64(0))
+	is.True(l.ran.Load() > 0)
+}
+
+// TestAcceptedConfigConverges kills a control host in the middle of edits:
+// what was accepted is in force on every node within 7 s and stays.
+func TestAcceptedConfigConverges(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, 4)
+	worst := time.Duration(0)
+	for i := range 6 {
+		if i == 3 {
+			m.Control[i%3].Kill()
+		}
+		path := fmt.Sprintf("/launch%d", i)
+		is.NoErr(m.Edit("designs", section+fmt.Sprintf("  - {path: %s, methods: [GET], service: designs}\n", path)))
+		accepted := time.Now()
+		for _, n := range m.Node {
+			is.NoErr(Await(t.Context(), 7*time.Second, path+" on "+n.Name, func() bool {
+				status, _, err := Get("http://" + n.Entry + path)
+				return err == nil && status == fasthttp.StatusOK
+			}))
+		}
+		worst = max(worst, time.Since(accepted))
+	}
+	t.Logf("worst %s after the operator's answer, with a control host killed", worst)
+	is.NoErr(m.StartControl(m.Control[0]))
+	is.NoErr(m.Control[0].WaitReady(t.Context()))
+	// A node that restarts gets the newest version, not what the host that
+	// came back last knew.
+	m.Node[3].Kill()
+	is.NoErr(m.StartNode(m.Node[3]))
+	is.NoErr(m.Node[3].WaitReady(t.Context()))
+	status, _, err := Get("http://" + m.Node[3].Entry + "/launch5")
+	is.NoErr(err)
+	is.Equal(status, fasthttp.StatusOK)
+}
+
+// TestReconnectStormBounded kills every control host and every node at once:
+// all are back within their bounds, and the control hosts stay below theirs.
+func TestReconnectStormBounded(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, 8)
+	for _, n := range m.Node {
+		n.Kill()
+	}
+	for _, c := range m.Control {
+		c.Kill()
+	}
+	for _, c := range m.Control {
+		is.NoErr(m.StartControl(c))
+	}
+	start := time.Now()
+	for _, n := range m.Node {
+		is.NoErr(m.StartNode(n))
+	}
+	for _, n := range m.Node {
+		is.NoErr(Await(t.Context(), 7*time.Second, n.Name+" ready", func() bool {
+			status, _, err := Get("http://" + n.Admin + "/readyz")
+			return err == nil && status == fasthttp.StatusOK
+		}))
+	}
+	t.Logf("all %d nodes ready %s after the herd's restart", len(m.Node), time.Since(start))
+	for _, c := range m.Control {
+		_, body, err := Get("http://" + c.Admin + "/metrics")
+		is.NoErr(err)
+		is.True(!strings.Contains(string(body), "hornbeam_control_connections_refused_total"))
+		is.True(!strings.Contains(string(body), "hornbeam_invariant_violations_total"))
+	}
+}
