Poison requests are bounded over the mesh; a resend waits for the first

Cause: a request that crashes its targets could be sent again through every node. Two more faults came up in its test: a deposit sent again right after its answer was refused as unknown, since the answer was not stored yet; and a node that had served few requests had no budget for a single retry.

Change: owners report a request that was in flight when a target died; the control hosts count crashes by signature and tell all nodes; after 2 crashes it is refused as not run. A target's death counts as one failure of its version. A claim that another attempt holds is looked at until the deadline. The retry budget begins full. Nodes may propose claims and crash reports only; edits come through the operators' API alone.

Conclusion: bound is 2, plus what is handed over before the news arrives.

--- a/connection/registrar/registrar.go
+++ b/connection/registrar/registrar.go
@@ -37,6 +37,7 @@
 
 	maxSlots     = 10_000
 	coldRequests = 20
+	aliveTimeout = 200 * time.Millisecond
 	coldTime     = 10 * time.Second
 )
 
@@ -109,8 +110,22 @@
 	expiresAt time.Time
 	leaving   bool
 	served    atomic.Int64
+	crashed   atomic.Bool
 }
 
+// Alive reports whether the target still accepts connections.
+func (t *Target) Alive() bool {
+	conn, err := net.DialTimeout("tcp", t.Address, aliveTimeout)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
+// CrashedFirst reports true once in the target's life.
+func (t *Target) CrashedFirst() bool { return !t.crashed.Swap(true) }
+
 // Cold counts one answer and reports whether the target is so new that its
 // latency says nothing yet.
 func (t *Target) Cold() bool {
--- a/process/controller/methods.go
+++ b/process/controller/methods.go
@@ -18,8 +18,12 @@
 	announceWindow = 20 * time.Millisecond
 )
 
-// nodeMethods are what nodes may call.
-type nodeMethods struct{ c *Controller }
+// nodeMethods are what nodes may call. On connections of other control hosts,
+// trusted is set.
+type nodeMethods struct {
+	c       *Controller
+	trusted bool
+}
 
 // Sync answers once there is something new for the node, or after its wait.
 func (m *nodeMethods) Sync(args messenger.SyncArgs, reply *messenger.SyncReply) error {
@@ -70,8 +74,15 @@
 	return have
 }
 
-// Command proposes a command if this host leads the group.
+// Command proposes a command if this host leads the group. Nodes may change
+// claims and report crashes; edits come only through the operators' API.
 func (m *nodeMethods) Command(args messenger.CommandArgs, reply *messenger.CommandReply) error {
+	if !m.trusted && args.Group == messenger.GroupConfig {
+		c, err := applier.Decode(args.Command)
+		if _, ok := c.(applier.ReportCrash); err != nil || !ok {
+			return errors.New("nodes may not change the configuration")
+		}
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
 	defer cancel()
 	*reply = m.c.command(ctx, args.Group, args.Command)
--- a/process/controller/transport.go
+++ b/process/controller/transport.go
@@ -151,12 +151,9 @@
 // serve accepts connections of nodes and other control hosts.
 func (c *Controller) serve(ctx context.Context) {
 	nodes, peers := rpc.NewServer(), rpc.NewServer()
-	for server, methods := range map[*rpc.Server]bool{nodes: false, peers: true} {
-		register(server, "Node", &nodeMethods{c})
-		if methods {
-			register(server, "Peer", &peerMethods{c})
-		}
-	}
+	register(nodes, "Node", &nodeMethods{c: c})
+	register(peers, "Node", &nodeMethods{c: c, trusted: true})
+	register(peers, "Peer", &peerMethods{c})
 	var handlers conc.WaitGroup
 	defer handlers.Wait()
 	for {
--- a/process/proxier/proxier.go
+++ b/process/proxier/proxier.go
@@ -37,7 +37,9 @@
 	"github.com/hornbeamrack/hornbeamrack/process/tracer"
 	"github.com/hornbeamrack/hornbeamrack/request/executor"
 	"github.com/hornbeamrack/hornbeamrack/request/observer"
+	"github.com/hornbeamrack/hornbeamrack/request/quarantiner"
 	"github.com/hornbeamrack/hornbeamrack/request/receiver"
+	"github.com/hornbeamrack/hornbeamrack/version/applier"
 	"github.com/hornbeamrack/hornbeamrack/version/compiler"
 )
 
@@ -83,15 +85,16 @@
 	Tracer   *tracer.Tracer
 	Wrap     func(net.Conn) net.Conn // Wrap, when set, sees each connection to control hosts, for counting.
 
-	keeper     compiler.Keeper
-	registrar  *registrar.Registrar
-	executor   *executor.Executor
-	observer   *observer.Observer
-	receiver   *receiver.Receiver
-	subscriber *subscriber.Subscriber
-	pool       *messenger.Pool
-	listeners  [3]net.Listener
-	draining   atomic.Bool
+	keeper      compiler.Keeper
+	registrar   *registrar.Registrar
+	executor    *executor.Executor
+	observer    *observer.Observer
+	quarantiner *quarantiner.Quarantiner
+	receiver    *receiver.Receiver
+	subscriber  *subscriber.Subscriber
+	pool        *messenger.Pool
+	listeners   [3]net.Listener
+	draining    atomic.Bool
 }
 
 // The places of the listeners.
@@ -115,11 +118,12 @@
 	client := &messenger.Client{Addresses: n.Control, Pool: p.pool}
 	p.registrar = &registrar.Registrar{Queue: n.Queue}
 	p.observer = &observer.Observer{Tables: &p.keeper}
+	p.quarantiner = &quarantiner.Quarantiner{Tables: &p.keeper, Reports: crashReports{p.Settings.Name, client}}
 	p.executor = &executor.Executor{
-		Targets: p.registrar, Claims: messenger.Claims{Client: client}, Observer: p.observer,
+		Targets: p.registrar, Claims: messenger.Claims{Client: client}, Observer: p.observer, Crashes: p.quarantiner,
 		Tracer: p.Tracer, Lifetime: n.ClaimLifetime.Duration(),
 	}
-	p.receiver = &receiver.Receiver{Node: p.Settings.Name, Tables: &p.keeper, Owner: p.executor, Tracer: p.Tracer, Brakes: p.observer}
+	p.receiver = &receiver.Receiver{Node: p.Settings.Name, Tables: &p.keeper, Owner: p.executor, Tracer: p.Tracer, Brakes: p.observer, Poison: p.quarantiner}
 	p.subscriber = &subscriber.Subscriber{
 		Node: p.Settings.Name, DataCentre: p.Settings.DataCentre, Address: n.PeerAddress, Addresses: n.Control,
 		Keeper: &p.keeper, Registrar: p.registrar, Evidence: p.observer, Client: client, Log: p.Log, Wrap: p.Wrap,
@@ -127,6 +131,22 @@
 	return nil
 }
 
+// crashReports takes reports of crashes to the control hosts.
+type crashReports struct {
+	node   string
+	client *messenger.Client
+}
+
+// ReportCrash implements quarantiner.ReportProvider.
+func (r crashReports) ReportCrash(ctx context.Context, service string, signature uint64) error {
+	b, err := applier.Encode(applier.ReportCrash{Service: service, Signature: signature, Node: r.node, At: time.Now()})
+	if err != nil {
+		return err
+	}
+	_, err = r.client.Command(ctx, messenger.GroupConfig, b)
+	return err
+}
+
 // Ready reports whether the node serves requests.
 func (p *Proxier) Ready() bool { return !p.draining.Load() && p.subscriber.Ready() }
 
@@ -151,6 +171,7 @@
 	_ = entry.ShutdownWithContext(stop)
 	_ = peer.ShutdownWithContext(stop)
 	p.executor.Wait()
+	p.quarantiner.Wait()
 	_ = announce.ShutdownWithContext(stop)
 	servers.Wait()
 	cancel()
--- a/request/checker/checker.go
+++ b/request/checker/checker.go
@@ -18,6 +18,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
@@ -173,3 +174,13 @@
 	}
 	return names
 }
+
+// Fingerprint identifies a request's method, path and body.
+func Fingerprint(req *fasthttp.Request) uint64 {
+	d := xxhash.New()
+	for _, part := range [][]byte{req.Header.Method(), req.URI().RequestURI(), req.Body()} {
+		_, _ = d.Write(part)
+		_, _ = d.Write([]byte{0})
+	}
+	return d.Sum64()
+}
--- a/request/executor/executor.go
+++ b/request/executor/executor.go
@@ -24,7 +24,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
@@ -44,6 +43,8 @@
 	// claimTimeout bounds a claim; after it the request is refused.
 	claimTimeout = 2 * time.Second
 	settlePause  = 200 * time.Millisecond
+	// heldPause is the time between two looks at a claim that another attempt holds.
+	heldPause = 25 * time.Millisecond
 )
 
 // Kind tells why an order was refused.
@@ -82,6 +83,8 @@
 	ReasonMismatch   Reason = "mismatch"   // ReasonMismatch means that the key belongs to another request.
 	ReasonBroken     Reason = "broken"     // ReasonBroken means that the answer was cut off.
 	ReasonCrossed    Reason = "crossed"    // ReasonCrossed means that the answer was to another request.
+	ReasonCrash      Reason = "crash"      // ReasonCrash means that the target died with the request in flight.
+	ReasonPoison     Reason = "poison"     // ReasonPoison means that the request has crashed too many targets.
 	ReasonNoRoute    Reason = "noRoute"    // ReasonNoRoute means that the configuration has no route.
 	ReasonNotReady   Reason = "notReady"   // ReasonNotReady means that the node has no confirmed configuration.
 	ReasonBadRequest Reason = "badRequest" // ReasonBadRequest means that the request is malformed.
@@ -113,12 +116,18 @@
 	Observe(o Observation)
 }
 
+// CrashProvider takes in requests that were in flight when a target died.
+type CrashProvider interface {
+	Crashed(service string, req *fasthttp.Request)
+}
+
 // Executor is safe for concurrent use. Exported fields are set before the
 // first Execute.
 type Executor struct {
 	Targets  TargetProvider
 	Claims   claimer.Provider
 	Observer ObservationProvider // Observer may be nil.
+	Crashes  CrashProvider
 	Tracer   *tracer.Tracer
 	Lifetime time.Duration // Lifetime is how long a key is remembered; claimer.DefaultLifetime when zero.
 
@@ -211,7 +220,7 @@
 	if !o.Unsafe || len(key) == 0 {
 		return x.handOver(req, resp, t, o, send)
 	}
-	c := claimer.Command{Key: t.Service + "\x00" + string(key), Attempt: o.RequestID, Fingerprint: Fingerprint(req)}
+	c := claimer.Command{Key: t.Service + "\x00" + string(key), Attempt: o.RequestID, Fingerprint: checker.Fingerprint(req)}
 	report, detail, granted := x.claim(resp, c, o)
 	if !granted {
 		return report, detail
@@ -228,16 +237,6 @@
 	return report, detail
 }
 
-// Fingerprint identifies a request's method, path and body.
-func Fingerprint(req *fasthttp.Request) uint64 {
-	d := xxhash.New()
-	for _, part := range [][]byte{req.Header.Method(), req.URI().RequestURI(), req.Body()} {
-		_, _ = d.Write(part)
-		_, _ = d.Write([]byte{0})
-	}
-	return d.Sum64()
-}
-
 // claim asks for the right to run the request.
 func (x *Executor) claim(resp *fasthttp.Response, c claimer.Command, o Order) (Report, string, bool) {
 	span := x.Tracer.Start(&fasthttp.RequestHeader{}, "claim")
@@ -254,7 +253,7 @@
 	}
 	c.Action, c.At = claimer.ActionClaim, time.Now()
 	c.ExpiresAt = c.At.Add(lifetime)
-	result, err := x.Claims.Do(ctx, c)
+	result, err := x.askUntilKnown(ctx, c)
 	if err != nil {
 		// The claim may have been granted; it must not block a later try.
 		x.release(c)
@@ -274,6 +273,24 @@
 	return notRun(ReasonClaim), "no further keys can be remembered", false
 }
 
+// askUntilKnown claims a key. While another attempt holds it, that attempt may
+// still be running, so its outcome is waited for until ctx ends.
+func (x *Executor) askUntilKnown(ctx context.Context, c claimer.Command) (claimer.Result, error) {
+	for {
+		result, err := x.Claims.Do(ctx, c)
+		if err != nil || result.Verdict != claimer.VerdictHeld {
+			return result, err
+		}
+		timer := time.NewTimer(heldPause)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return result, nil
+		}
+	}
+}
+
 func replay(resp *fasthttp.Response, a *claimer.Answer) {
 	resp.Reset()
 	resp.SetStatusCode(a.Status)
@@ -325,6 +342,9 @@
 		t.Forwarder.Close()
 		err = &Error{"handOver", KindInvalid, errors.New("the answer names another request")}
 	}
+	if broken(err) && !t.Alive() {
+		return x.crashed(req, resp, t, o, time.Since(start))
+	}
 	x.observe(t, o, err != nil || resp.StatusCode() >= fasthttp.StatusInternalServerError, time.Since(start))
 	if err == nil {
 		checker.StripResponse(&resp.Header)
@@ -335,6 +355,23 @@
 	return Report{Outcome: forwarder.OutcomeOf(err), Reason: ReasonOf(err)}, err.Error()
 }
 
+// broken reports whether the target hung up before its whole answer came.
+func broken(err error) bool {
+	var e *forwarder.Error
+	return errors.As(err, &e) && e.Kind == forwarder.KindBroken
+}
+
+// crashed ends a request whose target died. All requests in flight are under
+// suspicion, but the version is blamed for one failure only.
+func (x *Executor) crashed(req *fasthttp.Request, resp *fasthttp.Response, t *registrar.Target, o Order, latency time.Duration) (Report, string) {
+	x.Crashes.Crashed(t.Service, req)
+	if t.CrashedFirst() {
+		x.observe(t, o, true, latency)
+	}
+	resp.Reset()
+	return Report{Outcome: forwarder.OutcomeUnknown, Reason: ReasonCrash}, "the target died with the request in flight"
+}
+
 func crossed(resp *fasthttp.Response, o Order) bool {
 	echo := resp.Header.Peek(checker.HeaderRequestID)
 	return len(echo) > 0 && string(echo) != o.RequestID
--- a/request/receiver/outcome_test.go
+++ b/request/receiver/outcome_test.go
@@ -14,8 +14,8 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/hornbeamrack/hornbeamrack/request/checker"
 	"github.com/hornbeamrack/hornbeamrack/request/claimer"
-	"github.com/hornbeamrack/hornbeamrack/request/executor"
 )
 
 var errCut = errors.New("cut by the test")
@@ -134,7 +134,7 @@
 	req.SetRequestURI("http://x/deposits")
 	req.Header.SetMethod("POST")
 	req.SetBodyString("body of " + key)
-	return executor.Fingerprint(&req)
+	return checker.Fingerprint(&req)
 }
 
 // TestNotRunNeverRan refuses requests for every reason there is: none of them
@@ -316,3 +316,28 @@
 	is.Equal(late.Load(), int64(0)) // no new work, though node a's table still names it
 	is.Equal(cut.Load(), int64(0))  // every request got its answer, from the other target
 }
+
+// TestResendWaitsForTheFirst sends a deposit again while it still runs.
+func TestResendWaitsForTheFirst(t *testing.T) {
+	is := is.New(t)
+	c, f := &claims{}, &fakeTarget{}
+	a, b := newNode(t, "a", c), newNode(t, "b", c)
+	running := make(chan struct{})
+	f.answer = func(ctx *fasthttp.RequestCtx) {
+		close(running)
+		time.Sleep(200 * time.Millisecond)
+		ctx.SetBodyString("the one answer")
+	}
+	address, _ := listen(t, f.handle)
+	announce(t, b, "t1", address)
+	put(t, 1, a, b)
+	var first answer
+	var wait sync.WaitGroup
+	wait.Go(func() { first = call(t, a.entry, "POST", "/deposits", "k") })
+	<-running
+	second := call(t, b.entry, "POST", "/deposits", "k")
+	wait.Wait()
+	is.Equal(first.outcome, "ran")
+	is.Equal(second, first)
+	is.Equal(f.ran("k"), 1)
+}
--- a/request/receiver/receiver.go
+++ b/request/receiver/receiver.go
@@ -69,6 +69,12 @@
 	Judge(e decider.Evidence)
 }
 
+// PoisonProvider knows requests that crash targets.
+type PoisonProvider interface {
+	// Refuses reports whether a request has crashed too many targets.
+	Refuses(service string, req *fasthttp.Request) bool
+}
+
 // Owner carries out orders for targets on this node's own host.
 type Owner interface {
 	Execute(req *fasthttp.Request, resp *fasthttp.Response, o executor.Order, done func()) executor.Report
@@ -82,9 +88,10 @@
 	Owner  Owner
 	Tracer *tracer.Tracer
 	Brakes BrakeProvider
+	Poison PoisonProvider
 	Board  router.Board
 
-	budget   atomic.Int64 // budget is in tenths of an attempt.
+	spent    atomic.Int64 // spent is what retries have taken out of the budget, in tenths of an attempt.
 	inFlight atomic.Int64
 	idOnce   sync.Once
 	idPrefix string
@@ -155,6 +162,9 @@
 	if err != nil {
 		return refuse(ctx, executor.ReasonBadRequest, err.Error())
 	}
+	if v.Poison.Refuses(route.Service, &ctx.Request) {
+		return refuse(ctx, executor.ReasonPoison, "this request was in flight when targets died; it is not run again")
+	}
 	checker.StripRequest(&ctx.Request.Header)
 	span := v.Tracer.Start(&ctx.Request.Header, "entry")
 	defer span.End()
@@ -202,6 +212,9 @@
 	if n >= a.route.Retries || time.Until(a.deadline) < minRetryTime {
 		return false
 	}
+	if r.Reason == executor.ReasonCrash {
+		return false // It may be the request that crashes its targets.
+	}
 	switch r.Outcome {
 	case forwarder.OutcomeNotRun:
 		return r.Reason != executor.ReasonMismatch && r.Reason != executor.ReasonClaim
@@ -218,17 +231,19 @@
 	return v.idPrefix + strconv.FormatUint(v.lastID.Add(1), 36)
 }
 
+// earn gives a first attempt's part back to the budget, which begins full.
 func (v *Receiver) earn() {
-	if v.budget.Load() < budgetMax*budgetRatio {
-		v.budget.Add(1)
+	if v.spent.Load() > 0 {
+		v.spent.Add(-1)
 	}
 }
 
+// spend takes one further attempt out of the budget.
 func (v *Receiver) spend() bool {
-	if v.budget.Add(-budgetRatio) >= 0 {
+	if v.spent.Add(budgetRatio) <= budgetMax*budgetRatio {
 		return true
 	}
-	v.budget.Add(budgetRatio)
+	v.spent.Add(-budgetRatio)
 	budgetEmpty.Inc()
 	return false
 }
--- a/request/receiver/receiver_test.go
+++ b/request/receiver/receiver_test.go
@@ -15,6 +15,7 @@
 	"github.com/hornbeamrack/hornbeamrack/request/claimer"
 	"github.com/hornbeamrack/hornbeamrack/request/executor"
 	"github.com/hornbeamrack/hornbeamrack/request/observer"
+	"github.com/hornbeamrack/hornbeamrack/request/quarantiner"
 	"github.com/hornbeamrack/hornbeamrack/version/applier"
 	"github.com/hornbeamrack/hornbeamrack/version/compiler"
 	"github.com/hornbeamrack/hornbeamrack/version/differ"
@@ -63,6 +64,12 @@
 	servers  []*fasthttp.Server
 }
 
+// noReports loses every report of a crash.
+type noReports struct{}
+
+// ReportCrash implements quarantiner.ReportProvider.
+func (noReports) ReportCrash(context.Context, string, uint64) error { return nil }
+
 func listen(tb testing.TB, handler fasthttp.RequestHandler) (string, *fasthttp.Server) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -81,8 +88,9 @@
 	}
 	n := &node{name: name, targets: &registrar.Registrar{}}
 	o := &observer.Observer{Tables: &n.keeper}
-	n.executor = &executor.Executor{Targets: n.targets, Claims: provider, Observer: o, Tracer: trace}
-	n.receiver = &Receiver{Node: name, Tables: &n.keeper, Owner: n.executor, Tracer: trace, Brakes: o}
+	q := &quarantiner.Quarantiner{Tables: &n.keeper, Reports: noReports{}}
+	n.executor = &executor.Executor{Targets: n.targets, Claims: provider, Observer: o, Crashes: q, Tracer: trace}
+	n.receiver = &Receiver{Node: name, Tables: &n.keeper, Owner: n.executor, Tracer: trace, Brakes: o, Poison: q}
 	var s *fasthttp.Server
 	n.entry, s = listen(tb, n.receiver.Handle)
 	n.servers = append(n.servers, s)
--- a/stand/starter/promise_integration_test.go
+++ b/stand/starter/promise_integration_test.go
@@ -1,6 +1,7 @@
 package starter
 
 import (
+	"encoding/json"
 	"fmt"
 	"strings"
 	"sync/atomic"
@@ -10,6 +11,8 @@
 	"github.com/matryer/is"
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
+
+	"github.com/hornbeamrack/hornbeamrack/process/controller"
 )
 
 // load is a set of callers that retry only what was certainly not run.
@@ -161,3 +164,77 @@
 		is.True(!strings.Contains(string(body), "hornbeam_invariant_violations_total"))
 	}
 }
+
+// revisions returns the newest endpoint revision and the oldest that a node has.
+func revisions(t *testing.T, m *Mesh) (newest, oldest uint64) {
+	is := is.New(t)
+	out, _, err := m.Operate("--json", "status")
+	is.NoErr(err)
+	var v controller.StatusView
+	is.NoErr(json.Unmarshal([]byte(out), &v))
+	newest, oldest = v.Revision, v.Revision
+	for _, n := range v.Nodes {
+		oldest = min(oldest, n.Report.Revision)
+	}
+	return newest, oldest
+}
+
+// TestPoisonRequestBounded sends a request that crashes each target that runs
+// it, again and again through every node; each crashed target is replaced.
+func TestPoisonRequestBounded(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, 3)
+	is.NoErr(m.Edit("designs", section+"  - {path: /notes, methods: [POST, PUT], service: designs, retries: 2}\n"))
+	fresh := 0
+	replace := func() {
+		fresh++
+		_, err := m.StartTarget(m.Node[fresh%3], fmt.Sprintf("p%d", fresh), "designs", "v1", "--crash", "poison", "--ledger", m.Folder+"/crashes")
+		is.NoErr(err)
+	}
+	for _, old := range m.Target {
+		is.NoErr(old.Stop())
+	}
+	for range 4 {
+		replace()
+	}
+	is.NoErr(Await(t.Context(), 20*time.Second, "targets announced", func() bool {
+		out, _, err := m.Operate("services")
+		return err == nil && strings.Count(out, "/p") == 4
+	}))
+	send := func(entry string) (int, string) {
+		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		defer fasthttp.ReleaseRequest(req)
+		defer fasthttp.ReleaseResponse(resp)
+		req.SetRequestURI("http://" + entry + "/notes")
+		req.Header.SetMethod(fasthttp.MethodPut)
+		req.SetBodyString("a poison note")
+		is.NoErr(fasthttp.DoTimeout(req, resp, 10*time.Second))
+		return resp.StatusCode(), string(resp.Header.Peek("Hornbeam-Reason"))
+	}
+	refused := 0
+	for i := range 12 {
+		before, _ := revisions(t, m)
+		_, reason := send(m.Node[i%3].Entry)
+		switch reason {
+		case "poison":
+			refused++
+		case "crash":
+			is.NoErr(Await(t.Context(), 10*time.Second, "news of the crash", func() bool {
+				newest, oldest := revisions(t, m)
+				return newest > before && oldest == newest
+			}))
+		}
+	}
+	crashed := 0
+	for _, target := range m.Target[2:] {
+		if !target.Running() {
+			crashed++
+		}
+	}
+	t.Logf("%d targets crashed by 12 sendings, %d refused", crashed, refused)
+	is.True(crashed <= 2)
+	is.True(refused >= 9)
+	status, _, err := Get("http://" + m.Node[0].Entry + "/designs/1")
+	is.NoErr(err)
+	is.Equal(status, fasthttp.StatusOK) // other requests are served
+}
--- a/version/applier/applier.go
+++ b/version/applier/applier.go
@@ -132,6 +132,8 @@
 		return s.announce(index, c), Result{Outcome: OutcomeAccepted}
 	case ExpireNodes:
 		return s.expire(index, c), Result{Outcome: OutcomeAccepted}
+	case ReportCrash:
+		return s.reportCrash(index, c), Result{Outcome: OutcomeAccepted}
 	}
 	return s, Result{}
 }
--- a/version/applier/command.go
+++ b/version/applier/command.go
@@ -94,6 +94,15 @@
 	At    time.Time `cbor:"2,keyasint"`
 }
 
+// ReportCrash says that a target died with a request in flight.
+type ReportCrash struct {
+	Service   string    `cbor:"1,keyasint"`
+	Signature uint64    `cbor:"2,keyasint"`
+	Node      string    `cbor:"3,keyasint"`
+	At        time.Time `cbor:"4,keyasint"`
+}
+
+func (ReportCrash) isCommand() {}
 func (EditSection) isCommand() {}
 func (BeginMove) isCommand()   {}
 func (CancelMove) isCommand()  {}
@@ -109,6 +118,7 @@
 	Step     *StepMove    `cbor:"4,keyasint,omitempty"`
 	Announce *Announce    `cbor:"5,keyasint,omitempty"`
 	Expire   *ExpireNodes `cbor:"6,keyasint,omitempty"`
+	Crash    *ReportCrash `cbor:"7,keyasint,omitempty"`
 }
 
 // Encode writes a command for the log.
@@ -127,6 +137,8 @@
 		r.Announce = &c
 	case ExpireNodes:
 		r.Expire = &c
+	case ReportCrash:
+		r.Crash = &c
 	}
 	b, err := encoder.Marshal(r)
 	if err != nil {
@@ -154,6 +166,8 @@
 		return *r.Announce, nil
 	case r.Expire != nil:
 		return *r.Expire, nil
+	case r.Crash != nil:
+		return *r.Crash, nil
 	}
 	return nil, &Error{"decode", KindDamaged, errors.New("empty command")}
 }
--- a/version/applier/endpoints.go
+++ b/version/applier/endpoints.go
@@ -115,3 +115,26 @@
 	}
 	return s
 }
+
+// reportCrash counts a crash against a request. The list is short, so nodes
+// get it whole with their endpoints.
+func (s State) reportCrash(index uint64, c ReportCrash) State {
+	next := Suspect{Service: c.Service, Signature: c.Signature, ExpiresAt: c.At.Add(SuspectTime)}
+	var kept []Suspect
+	for _, old := range s.Suspects {
+		switch {
+		case old.Service == c.Service && old.Signature == c.Signature:
+			next.Crashes = old.Crashes
+		case c.At.Before(old.ExpiresAt):
+			kept = append(kept, old)
+		}
+	}
+	next.Crashes++
+	s.Revision++
+	s.Suspects = withBounded(kept, next, MaxSuspects)
+	if next.Crashes == MaxCrashes {
+		s = s.WithEvent(Event{Index: index, At: c.At, Kind: "requestQuarantined", Subject: c.Service,
+			Detail: fmt.Sprintf("request %016x was in flight at %d crashes; refused until %s", c.Signature, next.Crashes, next.ExpiresAt.UTC().Format(time.RFC3339))})
+	}
+	return s
+}
--- a/version/applier/state.go
+++ b/version/applier/state.go
@@ -18,6 +18,12 @@
 	MaxEvents = 2_000
 	// MaxGone is the number of removed endpoints that deltas can still name.
 	MaxGone = 4_096
+	// MaxSuspects is the number of requests that are remembered for crashes.
+	MaxSuspects = 64
+	// SuspectTime is how long a request is remembered after its last crash.
+	SuspectTime = time.Hour
+	// MaxCrashes is the number of crashes after which a request is refused.
+	MaxCrashes = 2
 )
 
 // Revision is one accepted text of a section.
@@ -152,6 +158,14 @@
 	return e == o
 }
 
+// Suspect is a request that was in flight when targets died.
+type Suspect struct {
+	Service   string    `cbor:"1,keyasint" json:"service"`
+	Signature uint64    `cbor:"2,keyasint" json:"signature"`
+	Crashes   int       `cbor:"3,keyasint" json:"crashes"`
+	ExpiresAt time.Time `cbor:"4,keyasint" json:"expiresAt"`
+}
+
 // Gone is an endpoint that was removed.
 type Gone struct {
 	EndpointKey
@@ -205,6 +219,7 @@
 	Results   []Result   `cbor:"8,keyasint"`
 	Events    []Event    `cbor:"9,keyasint"`
 	PastMoves []Move     `cbor:"10,keyasint"`
+	Suspects  []Suspect  `cbor:"11,keyasint"`
 }
 
 // Section returns a section by name.
--- a/version/compiler/compiler.go
+++ b/version/compiler/compiler.go
@@ -22,6 +22,7 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -95,6 +96,7 @@
 	Waiting  int // Waiting is the number of endpoints whose service is not defined.
 	routes   []*Route
 	services []*Service
+	suspects []applier.Suspect
 }
 
 // Compiler builds tables for a node in one data centre. Endpoints change far
@@ -132,7 +134,7 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &Table{Version: h.Version, Revision: h.Revision}
+	t := &Table{Version: h.Version, Revision: h.Revision, suspects: h.Suspects}
 	for _, s := range doc.Services {
 		t.services = append(t.services, &Service{Service: s, Traffic: trafficOf(h, s.Name)})
 	}
@@ -205,6 +207,22 @@
 	return nil
 }
 
+// Suspects reports whether any request of the service is remembered for
+// crashes.
+func (t *Table) Suspects(service string) bool {
+	return slices.ContainsFunc(t.suspects, func(s applier.Suspect) bool { return s.Service == service })
+}
+
+// Crashes returns the crashes that are held against a request.
+func (t *Table) Crashes(service string, signature uint64, now time.Time) int {
+	for _, s := range t.suspects {
+		if s.Service == service && s.Signature == signature && now.Before(s.ExpiresAt) {
+			return s.Crashes
+		}
+	}
+	return 0
+}
+
 // Services returns all services; the caller must not change the list.
 func (t *Table) Services() []*Service { return t.services }
 
--- a/version/differ/differ.go
+++ b/version/differ/differ.go
@@ -71,6 +71,7 @@
 	FromRevision, Revision, EndpointsHash uint64
 	Endpoints                             []applier.Endpoint
 	Gone                                  []applier.EndpointKey
+	Suspects                              []applier.Suspect // Suspects is the whole list whenever the revision changes.
 }
 
 // Empty reports whether the update changes nothing for a node that has h.
@@ -83,18 +84,19 @@
 	Traffics  []applier.Traffic
 	Revision  uint64
 	Endpoints []applier.Endpoint
+	Suspects  []applier.Suspect
 }
 
 // Have describes the holding to a control host.
 func (h Holding) Have() Have {
-	return Have{Version: h.Version, Digest: h.digest(), Revision: h.Revision, EndpointsHash: hashEndpoints(h.Endpoints)}
+	return Have{Version: h.Version, Digest: h.digest(), Revision: h.Revision, EndpointsHash: hashEndpoints(h.Endpoints, h.Suspects)}
 }
 
 func (h Holding) digest() uint64 { return hashConfig(h.Version, h.Sections, h.Traffics) }
 
 // HoldingOf returns what a node holds that has all of the state.
 func HoldingOf(s applier.State) Holding {
-	h := Holding{Version: s.Version, Traffics: s.Traffics, Revision: s.Revision, Endpoints: s.Endpoints}
+	h := Holding{Version: s.Version, Traffics: s.Traffics, Revision: s.Revision, Endpoints: s.Endpoints, Suspects: s.Suspects}
 	for _, source := range s.Sources() {
 		h.Sections = append(h.Sections, Section{Name: source.Name, Body: source.Body})
 	}
@@ -142,6 +144,7 @@
 	case have.Revision >= s.Revision || have.Revision < s.GoneFrom:
 		u.FromRevision = 0
 	}
+	u.Suspects = s.Suspects
 	for _, e := range s.Endpoints {
 		if e.Modified > u.FromRevision {
 			u.Endpoints = append(u.Endpoints, e)
@@ -191,6 +194,9 @@
 	if u.FromRevision == 0 {
 		list = nil
 	}
+	if u.FromRevision != u.Revision {
+		h.Suspects = u.Suspects
+	}
 	h.Revision = u.Revision
 	list = merge(list, u.Endpoints, func(a, b applier.Endpoint) int { return a.Compare(b.EndpointKey) })
 	h.Endpoints = slices.DeleteFunc(list, func(e applier.Endpoint) bool { return slices.Contains(u.Gone, e.EndpointKey) })
@@ -235,8 +241,8 @@
 	return d.Sum64()
 }
 
-// hashEndpoints covers every endpoint in order.
-func hashEndpoints(endpoints []applier.Endpoint) uint64 {
+// hashEndpoints covers every endpoint and suspect in order.
+func hashEndpoints(endpoints []applier.Endpoint, suspects []applier.Suspect) uint64 {
 	d := xxhash.New()
 	sorted := slices.IsSortedFunc(endpoints, func(a, b applier.Endpoint) int { return cmp.Or(a.Compare(b.EndpointKey)) })
 	if !sorted {
@@ -246,5 +252,8 @@
 	if err == nil && len(endpoints) > 0 {
 		_, _ = d.Write(b)
 	}
+	if b, err = encoder.Marshal(suspects); err == nil && len(suspects) > 0 {
+		_, _ = d.Write(b)
+	}
 	return d.Sum64()
 }
