hornbeamctl control replace; a second loss after the repair on real processes

Cause: members could be changed only one call at a time, by identity.

Change: the command asks the new host for the identity on its disk, takes the lost one out of each group, adds the new one as a learner and makes it a voter once it has caught up; every step can be repeated.

Measured: TestControlHostReplaced: host 2 lost with its disk, replaced, host 1 killed right after; an edit is accepted, 5 deposits sent again ran 0 times more.

--- a/commands/client.go
+++ b/commands/client.go
@@ -40,6 +40,7 @@
 	addSectionCommands(p, &o)
 	addMoveCommands(p, &o)
 	addViewCommands(p, &o)
+	addControlCommands(p, &o)
 	mustAdd(p, "token", "Make a team's token",
 		"Prints a new token for a team's operators and the hash for the settings of the control hosts.\n\nExample:\n  hornbeamctl token", &tokenCommand{})
 	return runParser(p, args)
--- /dev/null
+++ b/commands/client_control.go
@@ -0,0 +1,93 @@
+package commands
+
+import (
+	"fmt"
+	"net/url"
+	"text/tabwriter"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"github.com/hornbeamrack/hornbeamrack/connection/messenger"
+	"github.com/hornbeamrack/hornbeamrack/process/controller"
+	"github.com/hornbeamrack/hornbeamrack/process/replicator"
+)
+
+const (
+	replaceTimeout = 2 * time.Minute
+	replacePause   = 500 * time.Millisecond
+)
+
+func addControlCommands(p *flags.Parser, o *clientOptions) {
+	c := mustAdd(p, "control", "Replace control hosts", "Control hosts are known by the identity on their disk; a host with a new disk is another member.", &struct{}{})
+	mustAdd(c, "replace", "Put a new control host in the place of a lost one",
+		"Takes the lost host out of both groups, lets the new one receive everything, and makes it a voter once it has caught up. Start the new host first; it waits. The command can be given again after a failure.\n\nExample:\n  hornbeamctl control replace --old control-2 --new 10.0.0.9:7000", &controlReplace{client: o})
+}
+
+// controlReplace replaces one control host.
+type controlReplace struct {
+	client *clientOptions
+	Old    string `long:"old" required:"yes" description:"Name of the lost control host" value-name:"NAME"`
+	New    string `long:"new" required:"yes" description:"rpcAddress of the new control host" value-name:"IP:PORT"`
+}
+
+// Execute implements flags.Commander.
+func (c *controlReplace) Execute([]string) error {
+	var fresh messenger.IdentifyReply
+	if err := c.client.get("/v1/identify?address="+url.QueryEscape(c.New), &fresh); err != nil {
+		return err
+	}
+	member := replicator.Member{ID: fresh.ID, Name: fresh.Name, Address: fresh.Address}
+	deadline := time.Now().Add(replaceTimeout)
+	for _, group := range []string{messenger.GroupConfig, messenger.GroupClaims} {
+		if err := c.replaceIn(group, member, deadline); err != nil {
+			return err
+		}
+	}
+	return c.client.show(member, func(w *tabwriter.Writer) {
+		row(w, fmt.Sprintf("%s votes in the place of %s", member.Name, c.Old))
+	})
+}
+
+// replaceIn goes through the steps of one group. One voter changes at a time;
+// each step waits for the one before it.
+func (c *controlReplace) replaceIn(group string, member replicator.Member, deadline time.Time) error {
+	var status controller.StatusView
+	if err := c.client.get("/v1/status", &status); err != nil {
+		return err
+	}
+	var steps []messenger.MemberArgs
+	for _, g := range status.Groups {
+		if g.Name != group {
+			continue
+		}
+		for _, m := range g.Membership.Members {
+			if m.Name == c.Old && m.ID != member.ID {
+				steps = append(steps, messenger.MemberArgs{Group: group, Action: messenger.MemberRemove, Member: m})
+			}
+		}
+		if !g.Membership.IsVoter(member.ID) {
+			steps = append(steps,
+				messenger.MemberArgs{Group: group, Action: messenger.MemberAdd, Member: member},
+				messenger.MemberArgs{Group: group, Action: messenger.MemberPromote, Member: member})
+		}
+	}
+	for _, s := range steps {
+		if err := c.step(s, deadline); err != nil {
+			return errors.WithMessagef(err, "%s %s in group %s", s.Action, s.Member.Name, group)
+		}
+	}
+	return nil
+}
+
+// step repeats one change until it is accepted.
+func (c *controlReplace) step(args messenger.MemberArgs, deadline time.Time) error {
+	for {
+		err := c.client.post("/v1/members", args, &messenger.Empty{})
+		if err == nil || time.Now().After(deadline) {
+			return err
+		}
+		time.Sleep(replacePause)
+	}
+}
--- a/process/controller/operators.go
+++ b/process/controller/operators.go
@@ -114,6 +114,7 @@
 	app.Get("/v1/events", c.listEvents)
 	app.Get("/v1/status", c.showStatus)
 	app.Post("/v1/members", c.postMember)
+	app.Get("/v1/identify", c.identifyHost)
 	go func() {
 		<-ctx.Done()
 		_ = app.ShutdownWithTimeout(operatorTimeout)
@@ -377,6 +378,18 @@
 	return ctx.JSON(v)
 }
 
+// identifyHost asks a control host at an address who it is.
+func (c *Controller) identifyHost(ctx fiber.Ctx) error {
+	call, cancel := timed(ctx)
+	defer cancel()
+	var reply messenger.IdentifyReply
+	address := strings.Clone(ctx.Query("address"))
+	if err := c.pool.Get(address).Call(call, messenger.MethodIdentify, messenger.Empty{}, &reply); err != nil {
+		return fiber.NewError(fiber.StatusServiceUnavailable, err.Error())
+	}
+	return ctx.JSON(reply)
+}
+
 // postMember changes the members of a group, on whichever host leads it.
 func (c *Controller) postMember(ctx fiber.Ctx) error {
 	var args messenger.MemberArgs
--- a/stand/starter/promise_integration_test.go
+++ b/stand/starter/promise_integration_test.go
@@ -238,3 +238,34 @@
 	is.NoErr(err)
 	is.Equal(status, fasthttp.StatusOK) // other requests are served
 }
+
+// TestControlHostReplaced loses a control host with its disk, puts a new one
+// in its place, and loses a second one right after the repair.
+func TestControlHostReplaced(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, 2)
+	for i := range 5 {
+		_, outcome, _, err := deposit(m.Node[0].Entry, fmt.Sprintf("before-%d", i))
+		is.NoErr(err)
+		is.Equal(outcome, "ran")
+	}
+	lost := m.Control[1]
+	lost.Kill()
+	_, err := m.AddControl(lost, "control-9")
+	is.NoErr(err)
+	out, code, err := m.Operate("control", "replace", "--old", lost.Name, "--new", m.Control[1].RPC)
+	is.NoErr(err)
+	t.Log(out)
+	is.Equal(code, 0)
+	m.Control[0].Kill()
+	is.NoErr(Await(t.Context(), 10*time.Second, "edit accepted by the two that are left", func() bool {
+		return m.Edit("designs", section+"# after the second loss\n") == nil
+	}))
+	// What was accepted before the losses is still known: no deposit runs again.
+	for i := range 5 {
+		_, outcome, _, err := deposit(m.Node[1].Entry, fmt.Sprintf("before-%d", i))
+		is.NoErr(err)
+		is.Equal(outcome, "ran")
+	}
+	is.Equal(len(ledger(t, m)), 5)
+}
--- a/stand/starter/starter.go
+++ b/stand/starter/starter.go
@@ -198,6 +198,26 @@
 	return b.String()
 }
 
+// AddControl starts a control host with an empty disk that nobody knows yet,
+// in the place of a lost one in the list of peers.
+func (m *Mesh) AddControl(lost *Control, name string) (*Control, error) {
+	free, err := addresses(3)
+	if err != nil {
+		return nil, err
+	}
+	c := &Control{Process: &Process{Name: name, Admin: free[0]}, RPC: free[1], Operators: free[2]}
+	for i, old := range m.Control {
+		if old == lost {
+			m.Control[i] = c
+		}
+	}
+	c.settings = filepath.Join(m.Folder, c.Name+".yaml")
+	if err := os.WriteFile(c.settings, []byte(m.controlSettings(c)), 0o600); err != nil {
+		return nil, err
+	}
+	return c, m.StartControl(c)
+}
+
 func (m *Mesh) nodeSettings(n *Node) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "name: %s\ndataCentre: %s\nroles: [node]\nadminAddress: %s\n", n.Name, n.DataCentre, n.Admin)
