Traces to an OTLP collector over HTTP; the claim is a span of its hop

Cause: spans went to a file only, and the claim's span had a trace of its own.

Ruled out: the client library with gRPC in its module graph, parts of which cannot be had; the slim protocol types carry no such dependency.

--- a/process/tracer/tracer.go
+++ b/process/tracer/tracer.go
@@ -1,7 +1,8 @@
 // Package tracer sets up traces with a span for each hop of a request.
 //
 // The W3C trace context is taken from callers and handed on to targets. Spans
-// go to a file, one JSON object a line, or nowhere. Without a destination
+// go to a file, one JSON object a line, to an OTLP collector over HTTP, to both,
+// or nowhere. Without a destination
 // nothing is recorded and a span costs next to nothing.
 //
 // # Usage
@@ -66,23 +67,40 @@
 
 // Open sets up a tracer.
 func Open(o Options) (*Tracer, error) {
-	if o.File == "" {
+	if o.File == "" && o.Endpoint == "" {
 		return &Tracer{tracer: noop.NewTracerProvider().Tracer("")}, nil
 	}
-	file, err := os.OpenFile(o.File, os.O_WRONLY|os.O_CREATE|os.O_APPEND, 0o600)
+	t := &Tracer{}
+	options := []sdktrace.TracerProviderOption{
+		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(o.Ratio))),
+		sdktrace.WithResource(resource.NewSchemaless(attribute.String("service.name", "hornbeamd"), attribute.String("process", o.Process))),
+	}
+	if o.File != "" {
+		exporter, err := t.openFile(o.File)
+		if err != nil {
+			return nil, err
+		}
+		options = append(options, sdktrace.WithBatcher(exporter))
+	}
+	if o.Endpoint != "" {
+		options = append(options, sdktrace.WithBatcher(collector{o.Endpoint}))
+	}
+	t.provider = sdktrace.NewTracerProvider(options...)
+	t.tracer = t.provider.Tracer("hornbeamrack")
+	return t, nil
+}
+
+func (t *Tracer) openFile(name string) (sdktrace.SpanExporter, error) {
+	file, err := os.OpenFile(name, os.O_WRONLY|os.O_CREATE|os.O_APPEND, 0o600)
 	if err != nil {
 		return nil, &Error{"open", KindIO, err}
 	}
+	t.file = file
 	exporter, err := stdouttrace.New(stdouttrace.WithWriter(file))
 	if err != nil {
-		return nil, &Error{"open", KindIO, errors.Wrap(err, o.File)}
+		return nil, &Error{"open", KindIO, errors.Wrap(err, name)}
 	}
-	provider := sdktrace.NewTracerProvider(
-		sdktrace.WithBatcher(exporter),
-		sdktrace.WithSampler(sdktrace.ParentBased(sdktrace.TraceIDRatioBased(o.Ratio))),
-		sdktrace.WithResource(resource.NewSchemaless(attribute.String("service.name", "hornbeamd"), attribute.String("process", o.Process))),
-	)
-	return &Tracer{tracer: provider.Tracer("hornbeamrack"), provider: provider, file: file}, nil
+	return exporter, nil
 }
 
 // Close writes what is still in memory.
@@ -91,8 +109,10 @@
 		return nil
 	}
 	err := t.provider.Shutdown(ctx)
-	if closeErr := t.file.Close(); err == nil {
-		err = closeErr
+	if t.file != nil {
+		if closeErr := t.file.Close(); err == nil {
+			err = closeErr
+		}
 	}
 	if err != nil {
 		return &Error{"close", KindIO, err}
@@ -120,6 +140,16 @@
 	return Span{span}
 }
 
+// Child begins a span below the one that the headers name, and leaves the
+// headers as they are: it is a step of this hop, not a hop of its own.
+func (t *Tracer) Child(h *fasthttp.RequestHeader, name string) Span {
+	if t.provider == nil {
+		return Span{}
+	}
+	_, span := t.tracer.Start(propagator.Extract(context.Background(), headerCarrier{h}), name)
+	return Span{span}
+}
+
 // Set adds an attribute to the span.
 func (s Span) Set(key, value string) {
 	if s.span != nil {
--- a/request/executor/executor.go
+++ b/request/executor/executor.go
@@ -221,7 +221,7 @@
 		return x.handOver(req, resp, t, o, send)
 	}
 	c := claimer.Command{Key: t.Service + "\x00" + string(key), Attempt: o.RequestID, Fingerprint: checker.Fingerprint(req)}
-	report, detail, granted := x.claim(resp, c, o)
+	report, detail, granted := x.claim(req, resp, c, o)
 	if !granted {
 		return report, detail
 	}
@@ -238,8 +238,8 @@
 }
 
 // claim asks for the right to run the request.
-func (x *Executor) claim(resp *fasthttp.Response, c claimer.Command, o Order) (Report, string, bool) {
-	span := x.Tracer.Start(&fasthttp.RequestHeader{}, "claim")
+func (x *Executor) claim(req *fasthttp.Request, resp *fasthttp.Response, c claimer.Command, o Order) (Report, string, bool) {
+	span := x.Tracer.Child(&req.Header, "claim")
 	defer span.End()
 	deadline := time.Now().Add(claimTimeout)
 	if o.Deadline.Before(deadline) {
