--- a/stand/measure/fleet.go
+++ b/stand/measure/fleet.go
@@ -31,6 +31,8 @@
 	readyLimit     = 7.0    // readyLimit is in seconds.
 	faultFreeLimit = 1.0    // faultFreeLimit is in seconds.
 	bytesLimit     = 2048.0 // bytesLimit is in bytes a second for each node.
+	cpuLimit       = 0.037  // cpuLimit is in cores for each node.
+	memoryLimit    = 128.0  // memoryLimit is in MB for each node.
 	idleTime       = 10 * time.Second
 	editsPerSize   = 8
 	ticksPerSecond = 100 // ticksPerSecond is the unit of CPU time in /proc.
@@ -50,6 +52,8 @@
 	killed                 float64 // killed is converged with one control host killed.
 	idleBytes, editBytes   float64 // idleBytes is per node and second, editBytes per node and edit.
 	controlCPU, controlRSS float64 // controlCPU is in cores, controlRSS in MB, of the busiest control host.
+	nodeIdle               float64 // nodeIdle is in cores, of one real node.
+	nodeCPU, nodeRSS       float64 // nodeCPU is in core seconds an edit, nodeRSS in MB, of one real node.
 	announceBytes          float64 // announceBytes is per node for the start of the whole herd.
 }
 
@@ -97,6 +101,8 @@
 		plain(name("bytes of an edit, each"), s.editBytes, "B"),
 		plain(name("busiest control host, idle"), s.controlCPU, "cores"),
 		plain(name("largest control host"), s.controlRSS, "MB"),
+		plain(name("one node, each edit"), s.nodeCPU, "core s"),
+		atMost(name("one node"), s.nodeRSS, "MB", memoryLimit),
 	}
 }
 
@@ -117,6 +123,9 @@
 		{"convergence, worst", "s", func(s sample) float64 { return s.converged }, faultFreeLimit},
 		{"busiest control host, idle", "cores", func(s sample) float64 { return s.controlCPU }, 0},
 		{"largest control host", "MB", func(s sample) float64 { return s.controlRSS }, 0},
+		{"one node, idle", "cores", func(s sample) float64 { return s.nodeIdle }, cpuLimit},
+		{"one node, each edit", "core s", func(s sample) float64 { return s.nodeCPU }, 0},
+		{"one node", "MB", func(s sample) float64 { return s.nodeRSS }, memoryLimit},
 	} {
 		slope, base, spread := fit(samples, f.value)
 		name := fmt.Sprintf("%d nodes by the slope: %s (slope %.3g a node, spread %.2g)", fullSize, f.name, slope, spread)
@@ -177,7 +186,7 @@
 	if err != nil {
 		return s, err
 	}
-	m := &starter.Mesh{Folder: run, Bin: folder, Controls: 3}
+	m := &starter.Mesh{Folder: run, Bin: folder, Controls: 3, Nodes: 1}
 	defer m.Stop()
 	if err := m.Start(context.Background()); err != nil {
 		return s, err
@@ -202,11 +211,13 @@
 	}
 	s.announceBytes = float64(count.bytes.Load()) / float64(n)
 	s.idle(m, &count)
-	before := count.bytes.Load()
+	before, cpu := count.bytes.Load(), cpuOf(m.Node[0].Pid())
 	if s.converged, err = editAll(m, agents, 1); err != nil {
 		return s, err
 	}
 	s.editBytes = max(0, float64(count.bytes.Load()-before)/float64(n*editsPerSize)-s.idleBytes*s.converged)
+	s.nodeCPU = (cpuOf(m.Node[0].Pid()) - cpu) / editsPerSize
+	s.nodeRSS = rssOf(m.Node[0].Pid())
 	m.Control[0].Kill()
 	s.killed, err = editAll(m, agents, 1+editsPerSize)
 	return s, err
@@ -312,10 +323,12 @@
 // idle measures a while without changes.
 func (s *sample) idle(m *starter.Mesh, count *counter) {
 	time.Sleep(2 * time.Second)
-	bytes, cpu := count.bytes.Load(), cpuOf(m)
+	bytes, cpu := count.bytes.Load(), controlCPU(m)
+	node := cpuOf(m.Node[0].Pid())
 	time.Sleep(idleTime)
 	s.idleBytes = float64(count.bytes.Load()-bytes) / idleTime.Seconds() / float64(s.nodes)
-	for i, now := range cpuOf(m) {
+	s.nodeIdle = (cpuOf(m.Node[0].Pid()) - node) / idleTime.Seconds()
+	for i, now := range controlCPU(m) {
 		s.controlCPU = max(s.controlCPU, (now-cpu[i])/idleTime.Seconds())
 	}
 	for _, c := range m.Control {
@@ -323,24 +336,28 @@
 	}
 }
 
-// cpuOf returns the CPU seconds that each control host has used.
-func cpuOf(m *starter.Mesh) []float64 {
+// controlCPU returns the CPU seconds that each control host has used.
+func controlCPU(m *starter.Mesh) []float64 {
 	var out []float64
 	for _, c := range m.Control {
-		raw, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", c.Pid()))
-		_, rest, _ := strings.Cut(string(raw), ") ")
-		fields := strings.Fields(rest)
-		var sum float64
-		if len(fields) > 12 {
-			user, _ := strconv.ParseFloat(fields[11], 64)
-			system, _ := strconv.ParseFloat(fields[12], 64)
-			sum = (user + system) / ticksPerSecond
-		}
-		out = append(out, sum)
+		out = append(out, cpuOf(c.Pid()))
 	}
 	return out
 }
 
+// cpuOf returns the CPU seconds that a process has used.
+func cpuOf(pid int) float64 {
+	raw, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	_, rest, _ := strings.Cut(string(raw), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) <= 12 {
+		return 0
+	}
+	user, _ := strconv.ParseFloat(fields[11], 64)
+	system, _ := strconv.ParseFloat(fields[12], 64)
+	return (user + system) / ticksPerSecond
+}
+
 // rssOf returns the resident memory of a process in MB.
 func rssOf(pid int) float64 {
 	raw, _ := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
--- a/stand/measure/main.go
+++ b/stand/measure/main.go
@@ -75,6 +75,7 @@
 	}
 	add("latency", "Added latency of the two-node road", &latency{options: &o})
 	add("fleet", "Herd, convergence, control bytes, CPU and memory over growing numbers of nodes", &fleet{options: &o})
+	add("moves", "Moves decided with seeded outcomes, by kind of fault and preference", &moves{options: &o})
 	if _, err := p.Parse(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
--- a/version/decider/decider.go
+++ b/version/decider/decider.go
@@ -9,8 +9,9 @@
 // The rules where evidence or time is short:
 //
 //   - Too little evidence at the end of a stage: with the preference deadline
-//     the move goes on while nothing is suspicious; with caution it waits, and
-//     is reported as late once the deadline cannot be met any more.
+//     the move goes on while nothing is suspicious; with caution it waits at
+//     the end of the first half and later, and is reported as late once the
+//     deadline cannot be met any more.
 //   - A suspicion, half of what a finding needs, holds the stage in both cases.
 //   - Too few slots at the new version: its share stays at what they carry.
 //   - A finding: the version is taken back at once, also while it is watched
@@ -64,7 +65,7 @@
 // whose fault is there from the beginning never gets more.
 var ladder = []stage{
 	{50, 0}, {100, 10}, {200, 25}, {300, 50}, {450, 90},
-	{1000, 200}, {2500, 500}, {5000, 1500}, {7500, 4000}, {applier.FullShare, 7000}, {applier.FullShare, applier.FullShare},
+	{1000, 150}, {2500, 300}, {5000, 1500}, {7500, 4000}, {applier.FullShare, 7000}, {applier.FullShare, applier.FullShare},
 }
 
 // firstHalf is the number of stages with the small shares.
@@ -162,11 +163,13 @@
 	if p.detector.Suspicious() {
 		return "the new version is under suspicion"
 	}
-	enough := p.detector.Enough(false, leastPerStage) && (current < firstHalf-1 || p.detector.Enough(true, leastUnsafe))
-	if enough {
+	// The small shares of the first half are what brings evidence in, so they
+	// grow without it; beyond them caution wants it.
+	if m.Preference == applier.PreferDeadline || current < firstHalf-1 {
 		return ""
 	}
-	if m.Preference == applier.PreferDeadline {
+	whole := current == firstHalf-1
+	if p.detector.Enough(false, leastPerStage, whole) && p.detector.Enough(true, leastUnsafe, whole) {
 		return ""
 	}
 	return fmt.Sprintf("too little evidence: the new version got %d requests in this stage", p.detector.Seen())
--- a/version/decider/decider_test.go
+++ b/version/decider/decider_test.go
@@ -142,7 +142,7 @@
 	is.True(Feasible(time.Unix(0, 0), time.Unix(5, 0)) != "")
 	is.Equal(Feasible(time.Unix(0, 0), time.Unix(60, 0)), "")
 	p := &Plan{}
-	m := applier.Move{Phase: applier.PhaseRunning, Share: 50, BegunAt: time.Unix(0, 0), Deadline: time.Unix(100, 0), Preference: applier.PreferCaution}
+	m := applier.Move{Phase: applier.PhaseRunning, Share: 450, UnsafeShare: 90, BegunAt: time.Unix(0, 0), Deadline: time.Unix(100, 0), Preference: applier.PreferCaution}
 	p.Observe(Evidence{Route: "/designs", Tally: Tally{Requests: 100}})
 	_, ok := p.Next(time.Unix(1, 0), m, Capacity{})
 	is.True(!ok)
--- a/version/decider/detector.go
+++ b/version/decider/detector.go
@@ -141,10 +141,15 @@
 }
 
 // Enough reports whether each route of the kind has seen least requests of the
-// new version in this stage, or has no traffic at all.
-func (d *Detector) Enough(unsafe bool, least uint64) bool {
+// new version, or has no traffic at all. They count from the move's beginning
+// if whole is set, else from the stage's.
+func (d *Detector) Enough(unsafe bool, least uint64, whole bool) bool {
 	for _, r := range d.routes {
-		if r.unsafe == unsafe && r.newStage < least && r.oldTotal.Requests > 0 {
+		seen := r.newStage
+		if whole {
+			seen = r.newTotal.Requests
+		}
+		if r.unsafe == unsafe && seen < least && r.oldTotal.Requests > 0 {
 			return false
 		}
 	}
