--- a/process/controller/methods.go
+++ b/process/controller/methods.go
@@ -16,6 +16,9 @@
 	// maxWait bounds how long a Sync waits for a change.
 	maxWait        = 3 * time.Second
 	announceWindow = 20 * time.Millisecond
+	// settleTime lets changes that come close together reach a node as one
+	// update: in a herd's restart every node's targets are news to all others.
+	settleTime = 50 * time.Millisecond
 )
 
 // nodeMethods are what nodes may call. On connections of other control hosts,
@@ -50,12 +53,21 @@
 		if !upToDate(reply.Update, args.Have) || left <= 0 {
 			return nil
 		}
-		wait, cancel := context.WithTimeout(ctx, left)
-		select {
-		case <-changed:
-		case <-wait.Done():
+		if awaitChange(ctx, changed, left) {
+			pauseFor(ctx, settleTime)
 		}
-		cancel()
+	}
+}
+
+// awaitChange reports whether the state changed within a time.
+func awaitChange(ctx context.Context, changed <-chan struct{}, limit time.Duration) bool {
+	wait, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	select {
+	case <-changed:
+		return true
+	case <-wait.Done():
+		return false
 	}
 }
 
--- a/stand/measure/fleet.go
+++ b/stand/measure/fleet.go
@@ -256,7 +256,7 @@
 		}
 		pool := &messenger.Pool{Preface: messenger.PrefaceNode, MaxFrame: messenger.MaxNodeFrame, Wrap: count.wrap}
 		a.subscriber = &subscriber.Subscriber{
-			Node: fmt.Sprintf("node-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%7), Address: "127.0.0.1:9", Addresses: addresses,
+			Node: fmt.Sprintf("agent-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%7), Address: "127.0.0.1:9", Addresses: addresses,
 			Keeper: a.keeper, Registrar: targets, Client: &messenger.Client{Addresses: addresses, Pool: pool}, Log: log.New(io.Discard), Wrap: count.wrap,
 		}
 		agents = append(agents, a)
