The poison test begins when every node knows the targets

The trace shows 'noTarget' for the first sendings: the control hosts knew the targets, the nodes did not yet.

Change: the test waits until all nodes have the newest revision. Bound and count stay as they are.

--- a/stand/starter/promise_integration_test.go
+++ b/stand/starter/promise_integration_test.go
@@ -199,7 +199,8 @@
 	}
 	is.NoErr(Await(t.Context(), 20*time.Second, "targets announced", func() bool {
 		out, _, err := m.Operate("services")
-		return err == nil && strings.Count(out, "/p") == 4
+		newest, oldest := revisions(t, m)
+		return err == nil && strings.Count(out, "/p") == 4 && oldest == newest
 	}))
 	send := func(entry string) (int, string) {
 		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
@@ -214,7 +215,8 @@
 	refused := 0
 	for i := range 12 {
 		before, _ := revisions(t, m)
-		_, reason := send(m.Node[i%3].Entry)
+		status, reason := send(m.Node[i%3].Entry)
+		t.Logf("sending %d through %s: status %d, reason %q", i, m.Node[i%3].Name, status, reason)
 		switch reason {
 		case "poison":
 			refused++
