Control hosts stamp the times of claims; no races in the tests' fakes

Cause: a claim carried its node's clock.

Ruled out: bounding how far a node's clock may differ, which needs a clock to compare with on every node.

Change: the control host that proposes a command of the claims group sets its time and works out the deadline from the lifetime that the node asks for.

The race detector found 5 races, all between the tests' fakes and the test that mends them; the fakes lock now, checks and expectations stay.

--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -294,6 +294,13 @@
 	if !ok || !c.ready.Load() {
 		return messenger.CommandReply{Redirect: messenger.Redirect{NotLeader: true}}
 	}
+	if group == messenger.GroupClaims {
+		stamped, err := claimer.Stamp(command, time.Now())
+		if err != nil {
+			return messenger.CommandReply{Failure: err.Error()}
+		}
+		command = stamped
+	}
 	value, err := m.group.Propose(ctx, command)
 	switch {
 	case replicator.IsKind(err, replicator.KindNotLeader), replicator.IsKind(err, replicator.KindLost),
--- a/request/claimer/claimer.go
+++ b/request/claimer/claimer.go
@@ -85,7 +85,9 @@
 	Truncated   bool   `cbor:"4,keyasint,omitempty"` // Truncated means that the body was too long to store.
 }
 
-// Command is one change of the register. Exactly one of the actions is set.
+// Command is one change of the register. Nodes leave its times out: the control
+// host that proposes it stamps them, so that a node with a wrong clock cannot
+// make a key be forgotten early.
 type Command struct {
 	Key         string    `cbor:"1,keyasint"`
 	Attempt     string    `cbor:"2,keyasint"` // Attempt identifies the one hand-over that the claim is for.
@@ -94,6 +96,31 @@
 	At          time.Time `cbor:"5,keyasint"`
 	ExpiresAt   time.Time `cbor:"6,keyasint,omitempty"`
 	Answer      *Answer   `cbor:"7,keyasint,omitempty"`
+	// Lifetime is how long the node wants the key to be remembered; the log
+	// holds the deadline that comes of it.
+	Lifetime time.Duration `cbor:"8,keyasint,omitempty"`
+}
+
+// WithTime returns the command as it is proposed at a moment.
+func (c Command) WithTime(now time.Time) Command {
+	c.At = now
+	if c.Action == ActionClaim {
+		c.ExpiresAt = now.Add(c.Lifetime)
+	}
+	return c
+}
+
+// Stamp sets the times of an encoded command.
+func Stamp(command []byte, now time.Time) ([]byte, error) {
+	var c Command
+	if err := encoder.Unmarshal(command, &c); err != nil {
+		return nil, &Error{"stamp", KindDamaged, err}
+	}
+	b, err := encoder.Marshal(c.WithTime(now))
+	if err != nil {
+		return nil, &Error{"stamp", KindDamaged, err}
+	}
+	return b, nil
 }
 
 // Action tells what a command does.
--- a/request/executor/executor.go
+++ b/request/executor/executor.go
@@ -251,8 +251,7 @@
 	if lifetime == 0 {
 		lifetime = claimer.DefaultLifetime
 	}
-	c.Action, c.At = claimer.ActionClaim, time.Now()
-	c.ExpiresAt = c.At.Add(lifetime)
+	c.Action, c.Lifetime = claimer.ActionClaim, lifetime
 	result, err := x.askUntilKnown(ctx, c)
 	if err != nil {
 		// The claim may have been granted; it must not block a later try.
@@ -322,7 +321,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 	defer cancel()
 	for ctx.Err() == nil {
-		c.At = time.Now()
 		if _, err := x.Claims.Do(ctx, c); err == nil {
 			return
 		}
--- a/request/receiver/outcome_test.go
+++ b/request/receiver/outcome_test.go
@@ -39,14 +39,22 @@
 		f.runs = map[string]int{}
 	}
 	f.runs[string(ctx.Request.Header.Peek("Idempotency-Key"))]++
+	answer := f.answer
 	f.mu.Unlock()
-	if f.answer != nil {
-		f.answer(ctx)
+	if answer != nil {
+		answer(ctx)
 		return
 	}
 	ctx.SetBodyString("done")
 }
 
+// mend ends all faults.
+func (f *fakeTarget) mend() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answer = nil
+}
+
 // hangUp closes the connection without an answer.
 func hangUp(ctx *fasthttp.RequestCtx) {
 	ctx.HijackSetNoResponse(true)
@@ -110,10 +118,9 @@
 			if first.outcome == "notRun" {
 				is.Equal(f.ran("k"), 0)
 			}
-			if row.again == "unknown" {
-				f.answer = nil // the target works again, and yet must not run it
-			} else {
-				c.before, c.after, f.answer = nil, nil, nil
+			f.mend() // the target works again; where the outcome is unknown it must not run it
+			if row.again != "unknown" {
+				c.mend()
 			}
 			last := call(t, b.entry, "POST", "/deposits", "k")
 			for limit := time.Now().Add(5 * time.Second); last.outcome != row.again && time.Now().Before(limit); {
--- a/request/receiver/receiver_test.go
+++ b/request/receiver/receiver_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -31,6 +32,7 @@
 
 // claims is a register in memory that can be made to fail.
 type claims struct {
+	mu       sync.Mutex // mu guards before and after.
 	register claimer.Register
 	before   func(c claimer.Command) error // before, when set, may refuse a command.
 	after    func(c claimer.Command) error // after, when set, may lose the answer.
@@ -38,20 +40,30 @@
 
 // Do implements claimer.Provider.
 func (c *claims) Do(_ context.Context, cmd claimer.Command) (claimer.Result, error) {
-	if c.before != nil {
-		if err := c.before(cmd); err != nil {
+	c.mu.Lock()
+	before, after := c.before, c.after
+	c.mu.Unlock()
+	if before != nil {
+		if err := before(cmd); err != nil {
 			return claimer.Result{}, err
 		}
 	}
-	r := c.register.Run(cmd)
-	if c.after != nil {
-		if err := c.after(cmd); err != nil {
+	r := c.register.Run(cmd.WithTime(time.Now()))
+	if after != nil {
+		if err := after(cmd); err != nil {
 			return claimer.Result{}, err
 		}
 	}
 	return r, nil
 }
 
+// mend ends all faults.
+func (c *claims) mend() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.before, c.after = nil, nil
+}
+
 // node is an entry and owner node in this process.
 type node struct {
 	name     string
