--- a/connection/messenger/messenger.go
+++ b/connection/messenger/messenger.go
@@ -21,6 +21,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/hornbeamrack/hornbeamrack/common/encoder"
+	"github.com/hornbeamrack/hornbeamrack/common/sleeper"
 	"github.com/hornbeamrack/hornbeamrack/connection/dialer"
 	"github.com/hornbeamrack/hornbeamrack/connection/framer"
 	"github.com/hornbeamrack/hornbeamrack/request/claimer"
@@ -146,7 +147,7 @@
 			c.redirect(group, address, "")
 			last = err
 		}
-		wait(ctx, pause)
+		sleeper.Sleep(ctx, pause)
 	}
 	kind := KindUnreachable
 	if uncertain {
@@ -173,7 +174,7 @@
 			c.redirect(GroupConfig, address, "")
 			last = err
 		}
-		wait(ctx, pause)
+		sleeper.Sleep(ctx, pause)
 	}
 	return &Error{"announce", KindUncertain, errors.WithMessage(last, "no control host answered in time")}
 }
@@ -210,15 +211,6 @@
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // Claims is the claims register as a node reaches it. It implements
 // claimer.Provider.
 type Claims struct {
--- a/process/controller/bootstrap.go
+++ b/process/controller/bootstrap.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 
 	"github.com/hornbeamrack/hornbeamrack/common/encoder"
+	"github.com/hornbeamrack/hornbeamrack/common/sleeper"
 	"github.com/hornbeamrack/hornbeamrack/connection/messenger"
 	"github.com/hornbeamrack/hornbeamrack/process/recorder"
 	"github.com/hornbeamrack/hornbeamrack/process/replicator"
@@ -69,7 +70,7 @@
 			c.Log.Info("joined", "id", next.ID, "voter", initial.IsVoter(next.ID))
 			return nil
 		}
-		pauseFor(ctx, joinPause)
+		sleeper.Sleep(ctx, joinPause)
 		if err := ctx.Err(); err != nil {
 			return &Error{"join", KindJoin, err}
 		}
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -31,6 +31,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/hornbeamrack/hornbeamrack/common/encoder"
+	"github.com/hornbeamrack/hornbeamrack/common/sleeper"
 	"github.com/hornbeamrack/hornbeamrack/connection/messenger"
 	"github.com/hornbeamrack/hornbeamrack/process/recorder"
 	"github.com/hornbeamrack/hornbeamrack/process/replicator"
@@ -336,7 +337,7 @@
 			}
 			return r, nil
 		}
-		pauseFor(ctx, 3*tick)
+		sleeper.Sleep(ctx, 3*tick)
 	}
 	if uncertain {
 		return applier.Result{}, &Error{"propose", KindUncertain, errors.New("no answer in time; send the same edit again")}
@@ -358,15 +359,6 @@
 	return reply, err
 }
 
-func pauseFor(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // confirmNow makes sure that this host's state of a group holds everything
 // that was accepted before the call.
 func (c *Controller) confirmNow(ctx context.Context, group string) error {
--- a/process/controller/decide.go
+++ b/process/controller/decide.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/hornbeamrack/hornbeamrack/common/sleeper"
 	"github.com/hornbeamrack/hornbeamrack/version/applier"
 	"github.com/hornbeamrack/hornbeamrack/version/decider"
 )
@@ -42,7 +43,7 @@
 func (c *Controller) decide(ctx context.Context) {
 	plans := map[string]*decider.Plan{}
 	for ctx.Err() == nil {
-		pauseFor(ctx, decider.DecideInterval)
+		sleeper.Sleep(ctx, decider.DecideInterval)
 		if !c.leads() {
 			clear(plans)
 			continue
--- a/process/controller/methods.go
+++ b/process/controller/methods.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/hornbeamrack/hornbeamrack/common/sleeper"
 	"github.com/hornbeamrack/hornbeamrack/connection/messenger"
 	"github.com/hornbeamrack/hornbeamrack/process/replicator"
 	"github.com/hornbeamrack/hornbeamrack/version/applier"
@@ -54,7 +55,7 @@
 			return nil
 		}
 		if awaitChange(ctx, changed, left) {
-			pauseFor(ctx, settleTime)
+			sleeper.Sleep(ctx, settleTime)
 		}
 	}
 }
--- a/process/controller/nodes.go
+++ b/process/controller/nodes.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/hornbeamrack/hornbeamrack/common/sleeper"
 	"github.com/hornbeamrack/hornbeamrack/connection/messenger"
 	"github.com/hornbeamrack/hornbeamrack/version/applier"
 )
@@ -141,7 +142,7 @@
 func (c *Controller) watchNodes(ctx context.Context) {
 	led := false
 	for ctx.Err() == nil {
-		pauseFor(ctx, seenInterval)
+		sleeper.Sleep(ctx, seenInterval)
 		leads := c.leads()
 		if leads && !led {
 			c.sight.renew()
@@ -214,7 +215,7 @@
 
 func (b *batcher) loop(ctx context.Context) {
 	for ctx.Err() == nil {
-		pauseFor(ctx, announceWindow)
+		sleeper.Sleep(ctx, announceWindow)
 		b.mu.Lock()
 		n := min(len(b.pending), maxBatch)
 		list, waiters := b.pending[:n:n], b.waiters[:n:n]
--- a/process/controller/operators.go
+++ b/process/controller/operators.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/hornbeamrack/hornbeamrack/common/decoder"
+	"github.com/hornbeamrack/hornbeamrack/common/sleeper"
 	"github.com/hornbeamrack/hornbeamrack/connection/messenger"
 	"github.com/hornbeamrack/hornbeamrack/process/replicator"
 	"github.com/hornbeamrack/hornbeamrack/version/applier"
@@ -183,7 +184,7 @@
 		if err == nil {
 			return c.state.State(), nil
 		}
-		pauseFor(call, 3*tick)
+		sleeper.Sleep(call, 3*tick)
 		if call.Err() != nil {
 			return applier.State{}, fiber.NewError(fiber.StatusServiceUnavailable, "this control host cannot reach a leader: "+err.Error())
 		}
--- a/process/controller/transport.go
+++ b/process/controller/transport.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sourcegraph/conc"
 
+	"github.com/hornbeamrack/hornbeamrack/common/sleeper"
 	"github.com/hornbeamrack/hornbeamrack/connection/framer"
 	"github.com/hornbeamrack/hornbeamrack/connection/messenger"
 	"github.com/hornbeamrack/hornbeamrack/process/replicator"
@@ -162,7 +163,7 @@
 			if ctx.Err() != nil {
 				return
 			}
-			pauseFor(ctx, tick)
+			sleeper.Sleep(ctx, tick)
 			continue
 		}
 		if !c.conns.add(conn) {
--- a/process/subscriber/subscriber.go
+++ b/process/subscriber/subscriber.go
@@ -27,6 +27,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/sourcegraph/conc"
 
+	"github.com/hornbeamrack/hornbeamrack/common/sleeper"
 	"github.com/hornbeamrack/hornbeamrack/connection/messenger"
 	"github.com/hornbeamrack/hornbeamrack/connection/registrar"
 	"github.com/hornbeamrack/hornbeamrack/version/applier"
@@ -142,7 +143,7 @@
 		}
 		s.setConnected(false, s.Addresses[next%len(s.Addresses)])
 		next++
-		sleep(ctx, pause.NextBackOff())
+		sleeper.Sleep(ctx, pause.NextBackOff())
 	}
 }
 
@@ -250,10 +251,10 @@
 				pause.Reset()
 			}
 			// The table shows the accepted list only after the next update.
-			waitAny(ctx, pause.NextBackOff(), changed, applied)
+			sleeper.SleepOr(ctx, pause.NextBackOff(), changed, applied)
 			continue
 		}
-		waitAny(ctx, maxBackoff, changed, applied)
+		sleeper.SleepOr(ctx, maxBackoff, changed, applied)
 	}
 }
 
@@ -291,21 +292,7 @@
 
 func (s *Subscriber) expireLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, expireInterval)
+		sleeper.Sleep(ctx, expireInterval)
 		s.Registrar.Expire()
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) { waitAny(ctx, d, nil, nil) }
-
-// waitAny waits for a time, for one of two channels, or for the end of ctx.
-func waitAny(ctx context.Context, d time.Duration, a, b <-chan struct{}) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-a:
-	case <-b:
-	}
-}
--- a/request/executor/executor.go
+++ b/request/executor/executor.go
@@ -29,6 +29,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hornbeamrack/hornbeamrack/common/asserter"
+	"github.com/hornbeamrack/hornbeamrack/common/sleeper"
 	"github.com/hornbeamrack/hornbeamrack/connection/registrar"
 	"github.com/hornbeamrack/hornbeamrack/process/tracer"
 	"github.com/hornbeamrack/hornbeamrack/request/checker"
@@ -43,7 +44,7 @@
 	// claimTimeout bounds a claim; after it the request is refused.
 	claimTimeout = 2 * time.Second
 	settlePause  = 200 * time.Millisecond
-	// heldPause is the time between two looks at a claim that another attempt holds.
+	// heldPause is the time before the second look at a claim that another attempt holds.
 	heldPause = 25 * time.Millisecond
 )
 
@@ -273,18 +274,16 @@
 }
 
 // askUntilKnown claims a key. While another attempt holds it, that attempt may
-// still be running, so its outcome is waited for until ctx ends.
+// still be running, so its outcome is waited for until ctx ends. Each look is an
+// entry in the log, so the pauses between them grow.
 func (x *Executor) askUntilKnown(ctx context.Context, c claimer.Command) (claimer.Result, error) {
-	for {
+	for pause := heldPause; ; pause *= 2 {
 		result, err := x.Claims.Do(ctx, c)
 		if err != nil || result.Verdict != claimer.VerdictHeld {
 			return result, err
 		}
-		timer := time.NewTimer(heldPause)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		sleeper.Sleep(ctx, pause)
+		if ctx.Err() != nil {
 			return result, nil
 		}
 	}
@@ -324,7 +323,7 @@
 		if _, err := x.Claims.Do(ctx, c); err == nil {
 			return
 		}
-		time.Sleep(settlePause)
+		sleeper.Sleep(ctx, settlePause)
 	}
 }
 
