Of two nodes with one name the earlier gives way

Cause: the fleet figures showed 2.7 KB/s of idle bytes for each node, 20 endpoint revisions a second: two nodes of one name pushed each other's targets out, each taking over the other's incarnation.

Change: a node that sees its name at another address with a later start stops announcing, logs it and counts it. A restart at the same address still takes over.

--- a/process/subscriber/subscriber.go
+++ b/process/subscriber/subscriber.go
@@ -74,6 +74,7 @@
 	have        differ.Have // have describes holding, whose digests take long to work out.
 	incarnation uint64
 	leaving     bool
+	usurped     bool // usurped means that another node has this node's name.
 	resync      bool // resync makes the next call ask for everything.
 	confirmedAt time.Time
 	connected   bool
@@ -81,9 +82,10 @@
 }
 
 var (
-	updatesTotal  = metrics.NewCounter("hornbeam_updates_total")
-	resyncsTotal  = metrics.NewCounter("hornbeam_resyncs_total")
-	rejectedTotal = metrics.NewCounter("hornbeam_updates_rejected_total")
+	updatesTotal   = metrics.NewCounter("hornbeam_updates_total")
+	resyncsTotal   = metrics.NewCounter("hornbeam_resyncs_total")
+	conflictsTotal = metrics.NewCounter("hornbeam_name_conflicts_total")
+	rejectedTotal  = metrics.NewCounter("hornbeam_updates_rejected_total")
 )
 
 // Run works until ctx ends.
@@ -263,10 +265,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var mine []applier.Endpoint
+	usurped := false
 	for _, e := range s.holding.Endpoints {
 		if e.Node != s.Node {
 			continue
 		}
+		if e.Address != s.Address && e.Incarnation > s.incarnation {
+			usurped = true
+			continue
+		}
 		// An earlier life of this node cannot stand above this one.
 		s.incarnation = max(s.incarnation, e.Incarnation)
 		e.Modified = 0
@@ -278,10 +285,22 @@
 			a.Endpoints = append(a.Endpoints, s.endpoint(t))
 		}
 	}
-	due := s.Keeper.Table() != nil && !slices.Equal(mine, a.Endpoints)
+	s.setUsurped(usurped)
+	due := s.Keeper.Table() != nil && !usurped && !slices.Equal(mine, a.Endpoints)
 	return a, s.applied, due
 }
 
+// setUsurped notes whether a node that started later, at another address, has
+// this node's name. Such a node wins: if both went on announcing, they would
+// push each other's targets out without end.
+func (s *Subscriber) setUsurped(usurped bool) {
+	if usurped && !s.usurped {
+		conflictsTotal.Inc()
+		s.Log.Error("another node has this node's name; give one of them another and restart it", "node", s.Node)
+	}
+	s.usurped = usurped
+}
+
 func (s *Subscriber) endpoint(t registrar.Announcement) applier.Endpoint {
 	return applier.Endpoint{
 		EndpointKey: applier.EndpointKey{Node: s.Node, Target: t.Target}, Incarnation: s.incarnation,
