A tag in an edit no longer ends every control host

Cause: fuzzing the section parser for 12 s found that a value with a tag, such as 'methods: !00', makes the YAML library read a nil node. Control hosts parse sections while they apply the log, so one such edit would have ended all of them, and again at every start.

Ruled out: parsing before the log only, which another team's edit in between makes worthless.

Change: tags are refused like aliases, with their place; and a panic of the library becomes an error of the edit, counted in hornbeam_decoder_panics_total.

--- a/common/decoder/decoder.go
+++ b/common/decoder/decoder.go
@@ -1,6 +1,6 @@
 // Package decoder reads YAML that people wrote, strictly.
 //
-// It refuses unknown and repeated keys, aliases, deep nesting and long input,
+// It refuses unknown and repeated keys, aliases, tags, deep nesting and long input,
 // and it says where the fault is: file, line, column, the line itself, and how
 // to mend it. Settings and sections go through the same code, so that their
 // errors look the same.
@@ -21,6 +21,7 @@
 	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/agnivade/levenshtein"
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
@@ -38,6 +39,8 @@
 	maxSuggestionDistance = 3
 )
 
+var panicsTotal = metrics.NewCounter("hornbeam_decoder_panics_total")
+
 // Kind tells what is wrong with the input.
 type Kind string
 
@@ -83,7 +86,16 @@
 
 // Decode reads raw into out, a pointer to a struct. file names the input in
 // errors, which are of type *Error.
-func Decode(file string, raw []byte, out any) error {
+func Decode(file string, raw []byte, out any) (err error) {
+	// Control hosts decode what operators wrote while they apply the log: a
+	// panic of the library would end them all, again at every start.
+	defer func() {
+		if r := recover(); r != nil {
+			panicsTotal.Inc()
+			err = &Error{Op: "decode", Kind: KindSyntax, File: file, Line: 1, Column: 1,
+				Message: fmt.Sprintf("the text cannot be read: %v", r), Mend: "look for unusual syntax"}
+		}
+	}()
 	if len(raw) > MaxBytes {
 		return &Error{Op: "decode", Kind: KindLimit, File: file, Line: 1, Column: 1,
 			Message: fmt.Sprintf("%d bytes, the limit is %d", len(raw), MaxBytes), Mend: "split it into several sections"}
@@ -177,8 +189,8 @@
 // Visit implements ast.Visitor.
 func (v *treeChecker) Visit(n ast.Node) ast.Visitor {
 	switch n.(type) {
-	case *ast.AliasNode, *ast.AnchorNode:
-		v.err = &Error{Op: "decode", Kind: KindLimit, File: v.file, Message: "aliases and anchors are not allowed", Mend: "write the value out"}
+	case *ast.AliasNode, *ast.AnchorNode, *ast.TagNode:
+		v.err = &Error{Op: "decode", Kind: KindLimit, File: v.file, Message: "aliases, anchors and tags are not allowed", Mend: "write the value out"}
 		setPosition(v.err, v.raw, n.GetToken())
 		return nil
 	}
