A command that panics is refused, not fatal

Cause: the decoder's panic showed that one command can end every control host.

Change: the applier keeps the old state, which never changes, and refuses the command; it is counted as a violated invariant and fatal in tests.

--- a/version/applier/applier.go
+++ b/version/applier/applier.go
@@ -85,11 +85,24 @@
 		asserter.That(false, "commandDecodes", "index %d: %v", index, err)
 		return err
 	}
-	next, result := a.State().Next(index, c)
+	next, result := a.next(index, c)
 	a.publish(index, next)
 	return result
 }
 
+// next runs a command on the newest state. A state never changes, so a command
+// that panics leaves it as it was, on every host alike, and is refused.
+func (a *Applier) next(index uint64, c Command) (next State, result Result) {
+	old := a.State()
+	defer func() {
+		if r := recover(); r != nil {
+			asserter.That(false, "commandsDoNotPanic", "index %d: %v", index, r)
+			next, result = old, refused(old, fmt.Sprintf("the command cannot be carried out: %v", r))
+		}
+	}()
+	return old.Next(index, c)
+}
+
 func (a *Applier) publish(index uint64, next State) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
