The measurements share their set-up

Cause: latency and fleet each made a scratch folder and built the programs with the same seven lines.

Change: buildPrograms in main.go serves both.

--- a/stand/measure/fleet.go
+++ b/stand/measure/fleet.go
@@ -69,14 +69,11 @@
 	if len(c.Sizes) == 0 {
 		c.Sizes = []int{50, 100, 200, 400}
 	}
-	folder, err := os.MkdirTemp("", "hornbeam-measure")
+	folder, remove, err := buildPrograms()
 	if err != nil {
 		return err
 	}
-	defer func() { _ = os.RemoveAll(folder) }()
-	if err := starter.Build(folder); err != nil {
-		return err
-	}
+	defer remove()
 	var samples []sample
 	var list []figure
 	for _, n := range c.Sizes {
--- a/stand/measure/latency.go
+++ b/stand/measure/latency.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"os"
 	"slices"
 	"time"
 
@@ -44,14 +43,11 @@
 func (c *latency) Execute([]string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*startTimeout)
 	defer cancel()
-	folder, err := os.MkdirTemp("", "hornbeam-measure")
+	folder, remove, err := buildPrograms()
 	if err != nil {
 		return err
 	}
-	defer func() { _ = os.RemoveAll(folder) }()
-	if err := starter.Build(folder); err != nil {
-		return err
-	}
+	defer remove()
 	m := &starter.Mesh{Folder: folder, Bin: folder, Controls: 3, Nodes: 2}
 	defer m.Stop()
 	roads, err := c.start(ctx, m)
--- a/stand/measure/main.go
+++ b/stand/measure/main.go
@@ -17,6 +17,8 @@
 	"text/tabwriter"
 
 	"github.com/jessevdk/go-flags"
+
+	"github.com/hornbeamrack/hornbeamrack/stand/starter"
 )
 
 // figure is one measured value beside its target.
@@ -62,6 +64,21 @@
 	return figure{name, value, unit, "-", true}
 }
 
+// buildPrograms compiles the programs into a scratch folder; the returned
+// function removes it.
+func buildPrograms() (string, func(), error) {
+	folder, err := os.MkdirTemp("", "hornbeam-measure")
+	if err != nil {
+		return "", nil, err
+	}
+	remove := func() { _ = os.RemoveAll(folder) }
+	if err := starter.Build(folder); err != nil {
+		remove()
+		return "", nil, err
+	}
+	return folder, remove, nil
+}
+
 func main() {
 	var o options
 	p := flags.NewNamedParser("measure", flags.HelpFlag)
