--- a/commands/daemon_run.go
+++ b/commands/daemon_run.go
@@ -14,11 +14,15 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc/pool"
 
+	"github.com/hornbeamrack/hornbeamrack/common/journaler"
+	"github.com/hornbeamrack/hornbeamrack/connection/locator"
+	"github.com/hornbeamrack/hornbeamrack/platform"
 	"github.com/hornbeamrack/hornbeamrack/process/configurer"
 	"github.com/hornbeamrack/hornbeamrack/process/controller"
 	"github.com/hornbeamrack/hornbeamrack/process/proxier"
 	"github.com/hornbeamrack/hornbeamrack/process/reporter"
 	"github.com/hornbeamrack/hornbeamrack/process/tracer"
+	"github.com/hornbeamrack/hornbeamrack/request/translator"
 )
 
 const (
@@ -39,19 +43,21 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	return runDaemon(ctx, s)
+	return runDaemon(ctx, c.options.Settings, s)
 }
 
 // parts are what the daemon is made of; they are built once.
 type parts struct {
 	settings configurer.Settings
+	journal  *journaler.Journal
 	log      *log.Logger
+	hosts    *locator.Locator
 	tracer   *tracer.Tracer
 	control  *controller.Controller // control is nil without the role.
 	node     *proxier.Proxier       // node is nil without the role.
 }
 
-func runDaemon(ctx context.Context, s configurer.Settings) error {
+func runDaemon(ctx context.Context, file string, s configurer.Settings) error {
 	if s.MemoryLimitMB > 0 {
 		debug.SetMemoryLimit(int64(s.MemoryLimitMB) << 20)
 		debug.SetGCPercent(gcPercent)
@@ -60,7 +66,10 @@
 	if err != nil {
 		return &Error{"run", KindFailure, err}
 	}
-	p.log.Info("started", "roles", s.Roles, "dataCentre", s.DataCentre)
+	defer p.journal.Close()
+	p.log.Info("started", "roles", s.Roles, "dataCentre", s.DataCentre, "seeds", s.Discovery.Seeds, "found", s.Discovery.Found, "adapter", s.Edge.Adapter)
+	r := &reloader{file: file, parts: p}
+	go r.run(ctx)
 	err = p.run(ctx)
 	flush, cancel := context.WithTimeout(context.Background(), traceFlushTimeout)
 	defer cancel()
@@ -75,7 +84,8 @@
 }
 
 func build(s configurer.Settings) (*parts, error) {
-	p := &parts{settings: s, log: newLogger(s)}
+	p := &parts{settings: s, journal: newJournal(s), hosts: locator.New(s.Discovery.SeedAddresses()...)}
+	p.log = p.journal.Logger
 	var err error
 	p.tracer, err = tracer.Open(tracer.Options{Process: s.Name, File: s.Traces.File, Endpoint: s.Traces.Endpoint, Ratio: s.Traces.Ratio})
 	if err != nil {
@@ -83,12 +93,21 @@
 	}
 	if s.HasRole(configurer.RoleControl) {
 		p.control = newController(s, p.log)
+		if len(s.Control.Peers) == 0 {
+			p.control.Hosts, p.control.Seeds, p.control.Found = p.hosts, s.Discovery.SeedAddresses(), s.Discovery.Found
+		}
 		if err := p.control.Open(); err != nil {
 			return nil, err
 		}
 	}
 	if s.HasRole(configurer.RoleNode) {
-		p.node = &proxier.Proxier{Settings: s, Log: p.log, Tracer: p.tracer, Wrap: countBytes}
+		p.node = &proxier.Proxier{
+			Settings: s, Hosts: p.hosts, Log: p.log, Journal: p.journal, Tracer: p.tracer,
+			Translator: translatorOf(s), Wrap: countBytes,
+		}
+		if len(s.Discovery.Seeds) == 0 {
+			p.hosts.SetSeeds(s.Node.Control)
+		}
 		if err := p.node.Open(); err != nil {
 			return nil, err
 		}
@@ -96,12 +115,19 @@
 	return p, nil
 }
 
-func newLogger(s configurer.Settings) *log.Logger {
-	l := log.NewWithOptions(os.Stderr, log.Options{ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Formatter: log.LogfmtFormatter})
-	if level, err := log.ParseLevel(s.LogLevel); err == nil {
-		l.SetLevel(level)
+func translatorOf(s configurer.Settings) translator.Translator {
+	if s.Edge.Adapter == platform.Adapter {
+		return platform.Translator{}
+	}
+	return translator.Own{}
+}
+
+func newJournal(s configurer.Settings) *journaler.Journal {
+	level := log.InfoLevel
+	if parsed, err := log.ParseLevel(s.LogLevel); err == nil {
+		level = parsed
 	}
-	return l.With("process", s.Name)
+	return journaler.New(os.Stdout, s.Name, level)
 }
 
 func newController(s configurer.Settings, l *log.Logger) *controller.Controller {
@@ -138,9 +164,22 @@
 		r := &reporter.Reporter{Address: p.settings.AdminAddress, Checks: p.checks()}
 		tasks.Go(func() error { defer cancel(); return r.Run(ctx) })
 	}
+	if p.settings.Edge.Adapter == platform.Adapter {
+		// The edge serves until the parts behind it have stopped.
+		tasks.Go(func() error { defer cancel(); return p.runEdge(controlCtx) })
+	}
 	return errors.WithStack(tasks.Wait())
 }
 
+// runEdge serves the platform's calls for the roles of this process.
+func (p *parts) runEdge(ctx context.Context) error {
+	e := p.settings.Edge
+	if p.control != nil {
+		return (&platform.OperatorEdge{Control: p.control, Address: e.Address, Log: p.log}).Run(ctx)
+	}
+	return (&platform.TargetEdge{Node: p.node, Address: e.Address, ReadinessAddress: e.ReadinessAddress, Log: p.log}).Run(ctx)
+}
+
 func (p *parts) checks() []reporter.Check {
 	var checks []reporter.Check
 	if p.control != nil {
--- /dev/null
+++ b/common/journaler/journaler.go
@@ -0,0 +1,149 @@
+// Package journaler writes log lines without ever holding up who writes them.
+//
+// Lines go through a bounded buffer to one goroutine, which writes them. When
+// the buffer is full, lines are dropped and counted, and a later line says how
+// many. Lines that come with each request are bounded by kind; every tenth
+// ordinary one is written, and refusals have a bound of their own.
+//
+// # Usage
+//
+//	j := journaler.New(os.Stdout, "host-a", log.InfoLevel)
+//	defer j.Close()
+//	if j.Allowed("request refused") {
+//		j.Warn("request refused", "id", id, "reason", reason)
+//	}
+package journaler
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/charmbracelet/log"
+)
+
+const (
+	bufferLines = 1024
+	// linesPerSecond bounds the lines of one kind.
+	linesPerSecond = 20
+	// sampleEvery is the part of ordinary events that is written: one in so many.
+	sampleEvery = 10
+)
+
+var droppedTotal = metrics.NewCounter("hornbeam_log_lines_dropped_total")
+
+// Journal is safe for concurrent use. A nil Journal writes nothing that is
+// bounded by kind.
+type Journal struct {
+	*log.Logger
+
+	out     io.Writer
+	lines   chan []byte
+	done    chan struct{}
+	dropped atomic.Int64
+
+	mu    sync.Mutex
+	kinds map[string]*allowance
+}
+
+// allowance is what is left of a kind's lines in the second that began at since.
+type allowance struct {
+	since  time.Time
+	used   int
+	events int
+}
+
+// New starts a journal that writes lines of a level or above.
+func New(out io.Writer, process string, level log.Level) *Journal {
+	j := &Journal{out: out, lines: make(chan []byte, bufferLines), done: make(chan struct{}), kinds: map[string]*allowance{}}
+	l := log.NewWithOptions(j, log.Options{ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Formatter: log.LogfmtFormatter, Level: level})
+	j.Logger = l.With("process", process)
+	go j.run()
+	return j
+}
+
+// Write takes in one line. It never blocks and never fails.
+func (j *Journal) Write(line []byte) (int, error) {
+	select {
+	case j.lines <- append([]byte(nil), line...):
+	default:
+		droppedTotal.Inc()
+		j.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+func (j *Journal) run() {
+	defer close(j.done)
+	for line := range j.lines {
+		if line == nil {
+			return
+		}
+		if n := j.dropped.Swap(0); n > 0 {
+			j.Warn("log lines dropped", "lines", n)
+		}
+		if _, err := j.out.Write(line); err != nil {
+			droppedTotal.Inc() // There is no other place to say so.
+		}
+	}
+}
+
+// Close writes what is waiting, for a second at the most.
+func (j *Journal) Close() {
+	select {
+	case j.lines <- nil:
+	case <-time.After(time.Second):
+		return
+	}
+	select {
+	case <-j.done:
+	case <-time.After(time.Second):
+	}
+}
+
+// Allowed reports whether one more line of a kind may be written now.
+func (j *Journal) Allowed(kind string) bool {
+	if j == nil {
+		return false
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.take(kind)
+}
+
+// Sampled reports whether an ordinary event of a kind is to be written.
+func (j *Journal) Sampled(kind string) bool {
+	if j == nil {
+		return false
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	a := j.kind(kind)
+	a.events++
+	return a.events%sampleEvery == 1 && j.take(kind)
+}
+
+func (j *Journal) kind(kind string) *allowance {
+	a, ok := j.kinds[kind]
+	if !ok {
+		a = &allowance{}
+		j.kinds[kind] = a
+	}
+	return a
+}
+
+func (j *Journal) take(kind string) bool {
+	a := j.kind(kind)
+	if now := time.Now(); now.Sub(a.since) > time.Second {
+		a.since, a.used = now, 0
+	}
+	if a.used >= linesPerSecond {
+		droppedTotal.Inc()
+		j.dropped.Add(1)
+		return false
+	}
+	a.used++
+	return true
+}
--- /dev/null
+++ b/connection/acceptor/exchange.go
@@ -0,0 +1,76 @@
+package acceptor
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Exchange is one request with its answer. The handler fills in Response
+// before it returns; both are invalid afterwards.
+type Exchange struct {
+	Request    fasthttp.Request
+	Response   fasthttp.Response
+	ReceivedAt time.Time // ReceivedAt is when the whole request had been read.
+
+	conn   *conn
+	ctx    context.Context
+	turn   chan struct{} // turn is closed when every earlier answer on the connection is written.
+	next   chan struct{} // next is the turn of the exchange behind this one.
+	done   chan struct{}
+	closes bool // closes means that the connection ends with this answer.
+}
+
+// Context ends when the peer has hung up.
+func (x *Exchange) Context() context.Context { return x.ctx }
+
+// Turn is closed when every earlier answer on the connection is written. A
+// request that must not run twice waits for it: a peer sends requests again
+// that stand behind an answer which closes the connection.
+func (x *Exchange) Turn() <-chan struct{} { return x.turn }
+
+// CloseAfter ends the connection with this answer.
+func (x *Exchange) CloseAfter() { x.closes = true }
+
+// RemoteAddr returns the peer's address.
+func (x *Exchange) RemoteAddr() net.Addr { return x.conn.nc.RemoteAddr() }
+
+// LocalAddr returns the address that the peer connected to.
+func (x *Exchange) LocalAddr() net.Addr { return x.conn.nc.LocalAddr() }
+
+// Interim sends an interim answer, status 102, before the final one. It does
+// nothing while earlier answers are still due on the connection.
+func (x *Exchange) Interim() error {
+	select {
+	case <-x.turn:
+	default:
+		return nil
+	}
+	if err := x.conn.nc.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(x.conn.nc, "HTTP/1.1 %d Processing\r\n\r\n", fasthttp.StatusProcessing)
+	return err
+}
+
+// write sends the answer. last tells whether the connection ends with it.
+func (x *Exchange) write(bw *bufio.Writer, last bool) error {
+	h := &x.Response.Header
+	if last {
+		h.SetConnectionClose()
+	}
+	if x.Request.Header.IsHead() {
+		x.Response.SkipBody = true
+	}
+	if err := x.conn.nc.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	if err := x.Response.Write(bw); err != nil {
+		return err
+	}
+	return bw.Flush()
+}
--- a/connection/messenger/message.go
+++ b/connection/messenger/message.go
@@ -23,6 +23,7 @@
 	MethodSeen     = "Peer.Seen"
 	MethodNodes    = "Peer.Nodes"
 	MethodMember   = "Peer.Member"
+	MethodJoin     = "Peer.Join"
 	MethodSync     = "Node.Sync"
 	MethodCommand  = "Node.Command"
 	MethodAnnounce = "Node.Announce"
@@ -39,9 +40,19 @@
 
 // IdentifyReply tells who a control host is. Initial is the membership that
 // its groups began with; it is empty on a host that belongs to none yet.
+// Leaders are the addresses of the leaders that it follows, by group.
 type IdentifyReply struct {
 	ID, Name, Address string
 	Initial           replicator.Membership
+	Members           []string
+	Leaders           map[string]string
+}
+
+// JoinArgs asks the leader of a group to make a control host a voter, step by
+// step: the caller repeats it until it is one.
+type JoinArgs struct {
+	Group  string
+	Member replicator.Member
 }
 
 // DeliverArgs carries messages of one group.
@@ -97,6 +108,7 @@
 type SyncReply struct {
 	Confirmed bool
 	Update    differ.Update
+	Hosts     []string // Hosts are the addresses of all control hosts.
 }
 
 // CommandArgs proposes a command to a group.
--- a/connection/messenger/messenger.go
+++ b/connection/messenger/messenger.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	c := &messenger.Client{Addresses: []string{"10.0.0.1:7000", "10.0.0.2:7000"}}
+//	c := &messenger.Client{Hosts: locator.New("10.0.0.1:7000", "10.0.0.2:7000")}
 //	result, err := c.Command(ctx, messenger.GroupClaims, command)
 package messenger
 
@@ -24,6 +24,7 @@
 	"github.com/hornbeamrack/hornbeamrack/common/sleeper"
 	"github.com/hornbeamrack/hornbeamrack/connection/dialer"
 	"github.com/hornbeamrack/hornbeamrack/connection/framer"
+	"github.com/hornbeamrack/hornbeamrack/connection/locator"
 	"github.com/hornbeamrack/hornbeamrack/request/claimer"
 	"github.com/hornbeamrack/hornbeamrack/version/applier"
 )
@@ -116,8 +117,8 @@
 // Client sends commands to the leaders of groups. Exported fields are set
 // before use; it is safe for concurrent use.
 type Client struct {
-	Addresses []string
-	Pool      *Pool
+	Hosts *locator.Locator
+	Pool  *Pool
 
 	mu      sync.Mutex
 	leaders map[string]string
@@ -192,7 +193,7 @@
 	if l := c.leaders[group]; l != "" {
 		return l
 	}
-	return c.Addresses[c.next%len(c.Addresses)]
+	return c.Hosts.At(c.next)
 }
 
 // redirect notes that address does not lead, and who does if that is known.
--- a/connection/registrar/registrar.go
+++ b/connection/registrar/registrar.go
@@ -26,6 +26,7 @@
 
 	"github.com/hornbeamrack/hornbeamrack/request/forwarder"
 	"github.com/hornbeamrack/hornbeamrack/request/limiter"
+	"github.com/hornbeamrack/hornbeamrack/request/translator"
 	"github.com/hornbeamrack/hornbeamrack/version/parser"
 )
 
@@ -35,6 +36,9 @@
 	// MaxTargets bounds the targets on one host.
 	MaxTargets = 64
 
+	// latencyWeight is the number of answers that the usual latency looks back on.
+	latencyWeight = 8
+
 	maxSlots     = 10_000
 	coldRequests = 20
 	aliveTimeout = 200 * time.Millisecond
@@ -73,6 +77,18 @@
 	Slots       int    `json:"slots"`
 	Connections int    `json:"connections"`
 	StartedAt   int64  `json:"startedAt"` // StartedAt is in Unix milliseconds; it tells one life of the target from the next.
+	// Sequence grows with each announcement of one life, so that a late one is
+	// known; 0 means that the target does not count them.
+	Sequence uint64 `json:"sequence"`
+	Leaving  bool   `json:"leaving"` // Leaving means that the target takes no new work.
+}
+
+// sameTarget reports whether two announcements describe the same life in the
+// same way.
+func (a Announcement) sameTarget(o Announcement) bool {
+	a.Sequence, a.Leaving = 0, false
+	o.Sequence, o.Leaving = 0, false
+	return a == o
 }
 
 // check fills in defaults and refuses what cannot work.
@@ -111,6 +127,33 @@
 	leaving   bool
 	served    atomic.Int64
 	crashed   atomic.Bool
+
+	mu    sync.Mutex
+	usual time.Duration // usual is the moving average of latencies.
+}
+
+// Served takes in how long the target worked on a request.
+func (t *Target) Served(latency time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.usual == 0 {
+		t.usual = latency
+		return
+	}
+	t.usual += (latency - t.usual) / latencyWeight
+}
+
+// Load describes how busy the target is.
+func (t *Target) Load() translator.Load {
+	t.mu.Lock()
+	usual := t.usual
+	t.mu.Unlock()
+	busy := t.Limiter.Busy()
+	l := translator.Load{Known: true, Busy: busy}
+	if ahead := busy + 1 - t.Slots; ahead > 0 {
+		l.Wait = usual * time.Duration(ahead) / time.Duration(t.Slots)
+	}
+	return l
 }
 
 // Alive reports whether the target still accepts connections.
@@ -143,7 +186,8 @@
 }
 
 // Announce takes in a new target or renews a lease. A target that changed
-// anything about itself, its start included, replaces its earlier life.
+// anything about itself, its start included, replaces its earlier life; a late
+// announcement of an earlier life changes nothing.
 func (r *Registrar) Announce(a Announcement) error {
 	if err := a.check(); err != nil {
 		return &Error{"announce", KindInvalid, err}
@@ -151,23 +195,56 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.targets[a.Target]
-	if old != nil && old.Announcement == a && !old.leaving {
-		old.expiresAt = r.now().Add(LeaseTime)
+	if r.outdated(a, old) {
 		return nil
 	}
-	if old != nil && old.leaving && old.StartedAt == a.StartedAt {
-		return nil // A renewal crossed the target's own leave on the way.
-	}
 	if old == nil && len(r.targets) >= MaxTargets {
 		return &Error{"announce", KindFull, errors.Errorf("%d targets on this host", MaxTargets)}
 	}
-	if old != nil {
-		old.Limiter.Close()
+	switch {
+	case old != nil && old.StartedAt == a.StartedAt && old.leaving:
+		// A renewal crossed the target's own leave on the way.
+	case old != nil && old.sameTarget(a):
+		old.Sequence, old.expiresAt = a.Sequence, r.now().Add(LeaseTime)
+	default:
+		if old != nil {
+			old.Limiter.Close()
+		}
+		r.supersede(a)
+		r.put(a)
+	}
+	if a.Leaving {
+		r.stop(r.targets[a.Target])
 	}
-	r.put(a)
 	return nil
 }
 
+// outdated reports whether an announcement is older than what is known of its
+// target or of its address.
+func (r *Registrar) outdated(a Announcement, old *Target) bool {
+	if old != nil && a.StartedAt < old.StartedAt {
+		return true
+	}
+	if old != nil && a.StartedAt == old.StartedAt && a.Sequence != 0 && a.Sequence <= old.Sequence {
+		return true
+	}
+	for _, t := range r.targets {
+		if t.Target != a.Target && t.Address == a.Address && a.StartedAt != 0 && t.StartedAt > a.StartedAt {
+			return true
+		}
+	}
+	return false
+}
+
+// supersede stops earlier targets at the same address: they have ended.
+func (r *Registrar) supersede(a Announcement) {
+	for _, t := range r.targets {
+		if t.Target != a.Target && t.Address == a.Address && t.StartedAt != 0 && t.StartedAt < a.StartedAt {
+			r.stop(t)
+		}
+	}
+}
+
 func (r *Registrar) put(a Announcement) {
 	if r.targets == nil {
 		r.targets = map[string]*Target{}
@@ -185,11 +262,15 @@
 	r.signal()
 }
 
-// Leave stops new work at a target. Its requests in flight go on.
-func (r *Registrar) Leave(name string) error {
+// Leave stops new work at a target. Its requests in flight go on. startedAt
+// names the life that leaves; 0 means whichever there is.
+func (r *Registrar) Leave(name string, startedAt int64) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.targets[name]
+	if t != nil && startedAt != 0 && startedAt < t.StartedAt {
+		return nil // An earlier life left.
+	}
 	if t == nil {
 		return &Error{"leave", KindUnknown, errors.Errorf("no target %q on this host", name)}
 	}
--- a/process/configurer/configurer.go
+++ b/process/configurer/configurer.go
@@ -47,6 +47,9 @@
 	DefaultClaimLifetime = 24 * time.Hour
 
 	maxControlHosts = 7
+	maxPort         = 65535
+	// softPart is the part of the hard memory limit that the heap is held to.
+	softPart = 0.6
 )
 
 // Kind tells why settings could not be read.
@@ -81,6 +84,10 @@
 	LogLevel      string       `yaml:"logLevel"`
 	MemoryLimitMB int          `yaml:"memoryLimitMB"`
 	StopTime      decoder.Span `yaml:"stopTime"`
+	HardLimitMB   int          `yaml:"hardLimitMB"` // HardLimitMB is what the host ends the process at; the soft limit then follows from it.
+	Discovery     Discovery    `yaml:"discovery"`
+	Edge          Edge         `yaml:"edge"`
+	Retries       Retries      `yaml:"retries"`
 	Traces        Traces       `yaml:"traces"`
 	Node          Node         `yaml:"node"`
 	Control       Control      `yaml:"control"`
@@ -93,6 +100,43 @@
 	Ratio    float64 `yaml:"ratio"`
 }
 
+// Discovery says how control hosts are found where their list is not fixed.
+type Discovery struct {
+	Seeds []string `yaml:"seeds"` // Seeds are addresses of some control hosts; only their IPs count.
+	Port  int      `yaml:"port"`  // Port is the port of every control host's rpcAddress.
+	Found bool     `yaml:"found"` // Found lets the seeds begin the groups, when every disk is new.
+}
+
+// Edge lets a platform's targets and operators speak to this process in their
+// own way.
+type Edge struct {
+	Adapter          string `yaml:"adapter"`          // Adapter is one of Adapters; empty means the project's own interfaces.
+	Address          string `yaml:"address"`          // Address takes the platform's calls.
+	ReadinessAddress string `yaml:"readinessAddress"` // ReadinessAddress tells the platform whether a node serves.
+	Service          string `yaml:"service"`          // Service is the service of the targets on this host.
+}
+
+// Adapters are the platforms that Edge may name.
+var Adapters = []string{"platform"}
+
+// Retries bounds the further attempts of all nodes together, by service.
+type Retries struct {
+	Ratio float64 `yaml:"ratio"` // Ratio is the number of further attempts for each request.
+	Slack float64 `yaml:"slack"` // Slack is the number of further attempts beyond the ratio.
+}
+
+// SeedAddresses returns the rpcAddress of each seed.
+func (d Discovery) SeedAddresses() []string {
+	var out []string
+	for _, s := range d.Seeds {
+		host, _, err := net.SplitHostPort(s)
+		if err == nil {
+			out = append(out, net.JoinHostPort(host, strconv.Itoa(d.Port)))
+		}
+	}
+	return out
+}
+
 // Node holds the settings of the node role.
 type Node struct {
 	EntryAddress    string       `yaml:"entryAddress"`    // EntryAddress takes callers' requests.
@@ -156,6 +200,8 @@
 	}
 	c := checker{file: file, raw: raw}
 	c.checkProcess(&s)
+	c.checkDiscovery(s)
+	c.checkEdge(s)
 	if s.HasRole(RoleNode) {
 		c.checkNode(&s)
 	}
@@ -209,6 +255,9 @@
 	if s.MemoryLimitMB < 0 {
 		c.fail("$.memoryLimitMB", "use a number of megabytes", "memoryLimitMB is %d", s.MemoryLimitMB)
 	}
+	if s.HardLimitMB > 0 && s.MemoryLimitMB == 0 {
+		s.MemoryLimitMB = int(softPart * float64(s.HardLimitMB))
+	}
 	if s.MemoryLimitMB == 0 && !s.HasRole(RoleControl) {
 		s.MemoryLimitMB = DefaultMemoryLimit >> 20
 	}
@@ -224,6 +273,9 @@
 			n.Control = append(n.Control, p.Address)
 		}
 	}
+	if len(n.Control) == 0 {
+		n.Control = s.Discovery.SeedAddresses()
+	}
 	if len(n.Control) == 0 {
 		c.fail("$.node.control", "list the rpcAddress of each control host", "a node without control hosts can never be ready")
 	}
@@ -244,10 +296,32 @@
 	}
 }
 
+func (c *checker) checkDiscovery(s Settings) {
+	if len(s.Discovery.Seeds) > 0 && (s.Discovery.Port < 1 || s.Discovery.Port > maxPort) {
+		c.fail("$.discovery.port", "write the port of every control host's rpcAddress", "port is %d", s.Discovery.Port)
+	}
+	for i, a := range s.Discovery.Seeds {
+		c.checkAddress(fmt.Sprintf("$.discovery.seeds[%d]", i), a)
+	}
+	if s.Retries.Ratio < 0 || s.Retries.Slack < 0 {
+		c.fail("$.retries", "use numbers of 0 and more", "ratio is %g, slack is %g", s.Retries.Ratio, s.Retries.Slack)
+	}
+}
+
+func (c *checker) checkEdge(s Settings) {
+	if s.Edge.Adapter != "" && !slices.Contains(Adapters, s.Edge.Adapter) {
+		c.fail("$.edge.adapter", "use one of "+strings.Join(Adapters, ", ")+", or leave it out", "unknown adapter %q", s.Edge.Adapter)
+	}
+}
+
 func (c *checker) checkControl(s *Settings) {
 	if s.DataFolder == "" {
 		c.fail("$.dataFolder", "name a folder on a disk that lasts", "a control host needs a dataFolder")
 	}
+	if len(s.Discovery.Seeds) > 0 && len(s.Control.Peers) == 0 {
+		c.checkTeams(s.Control)
+		return
+	}
 	own := slices.IndexFunc(s.Control.Peers, func(p Peer) bool { return p.Name == s.Name })
 	switch {
 	case len(s.Control.Peers) == 0:
@@ -300,8 +374,16 @@
 		places = append(places, place{"$.adminAddress", s.AdminAddress})
 	}
 	if s.HasRole(RoleNode) {
-		places = append(places, place{"$.node.entryAddress", s.Node.EntryAddress},
-			place{"$.node.peerAddress", s.Node.PeerAddress}, place{"$.node.announceAddress", s.Node.AnnounceAddress})
+		places = append(places, place{"$.node.entryAddress", s.Node.EntryAddress}, place{"$.node.peerAddress", s.Node.PeerAddress})
+		if s.Node.AnnounceAddress != "" || s.Edge.Adapter == "" {
+			places = append(places, place{"$.node.announceAddress", s.Node.AnnounceAddress})
+		}
+	}
+	if s.Edge.Adapter != "" {
+		places = append(places, place{"$.edge.address", s.Edge.Address})
+		if s.HasRole(RoleNode) {
+			places = append(places, place{"$.edge.readinessAddress", s.Edge.ReadinessAddress})
+		}
 	}
 	if s.HasRole(RoleControl) {
 		places = append(places, place{"$.control.rpcAddress", s.Control.RPCAddress})
@@ -321,7 +403,7 @@
 func (c *checker) checkAddress(path, address string) {
 	host, port, err := net.SplitHostPort(address)
 	n, portErr := strconv.Atoi(port)
-	if err != nil || net.ParseIP(host) == nil || portErr != nil || n < 1 || n > 65535 {
+	if err != nil || net.ParseIP(host) == nil || portErr != nil || n < 1 || n > maxPort {
 		c.fail(path, "write IP:PORT, such as 10.0.0.1:7000", "%q is not an address", address)
 	}
 }
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -30,8 +30,10 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/hornbeamrack/hornbeamrack/common/clock"
 	"github.com/hornbeamrack/hornbeamrack/common/encoder"
 	"github.com/hornbeamrack/hornbeamrack/common/sleeper"
+	"github.com/hornbeamrack/hornbeamrack/connection/locator"
 	"github.com/hornbeamrack/hornbeamrack/connection/messenger"
 	"github.com/hornbeamrack/hornbeamrack/process/recorder"
 	"github.com/hornbeamrack/hornbeamrack/process/replicator"
@@ -85,11 +87,18 @@
 	RPCAddress string
 	Operators  string // Operators is the address of the operators' API; empty serves none.
 	Peers      []Peer // Peers are the control hosts that the groups begin with, this one included.
-	Teams      []Team
-	Log        *log.Logger
-	Wrap       func(net.Conn) net.Conn // Wrap, when set, sees each connection, for counting.
+	// Hosts, when set, finds the other control hosts, and Peers stays empty. The
+	// groups then begin with the seeds, and other hosts join by themselves.
+	Hosts *locator.Locator
+	Seeds []string // Seeds are the addresses of the hosts that the groups begin with.
+	Found bool     // Found allows this host to begin the groups, with every disk new.
+	Teams []Team
+	Log   *log.Logger
+	Wrap  func(net.Conn) net.Conn // Wrap, when set, sees each connection, for counting.
+
+	identityMu sync.Mutex // identityMu guards identity.Initial until the host has joined.
+	identity   Identity
 
-	identity Identity
 	pool     *messenger.Pool
 	members  [2]*member
 	state    *applier.Applier
@@ -154,7 +163,7 @@
 func (c *Controller) newMember(name string, a replicator.Applier) *member {
 	s := &sender{pool: c.pool, group: name, known: c.addressOf}
 	return &member{sender: s, group: &replicator.Group{
-		Name: name, ID: c.identity.ID, Applier: a, Sender: s, Seed: seedOf(c.identity.ID),
+		Name: name, ID: c.identity.ID, Applier: a, Sender: s, Seed: seedOf(c.identity.ID), Now: clock.Now,
 		Recorder: &recorder.Recorder{Disk: recorder.Folder{Path: filepath.Join(c.DataFolder, name)}},
 	}}
 }
@@ -190,6 +199,9 @@
 	c.tasks.Go(func() { c.batch.loop(work) })
 	c.tasks.Go(func() { c.watchNodes(work) })
 	c.tasks.Go(func() { c.decide(work) })
+	if c.Hosts != nil {
+		c.tasks.Go(func() { c.keepMembership(work) })
+	}
 	if c.Operators != "" {
 		c.tasks.Go(func() { c.serveOperators(work) })
 	}
@@ -275,7 +287,7 @@
 			return mem.Address
 		}
 	}
-	mem, _ := c.identity.Initial.Find(id)
+	mem, _ := c.initial().Find(id)
 	return mem.Address
 }
 
--- a/process/controller/methods.go
+++ b/process/controller/methods.go
@@ -43,6 +43,7 @@
 		return nil
 	}
 	reply.Confirmed = true
+	reply.Hosts = c.memberAddresses()
 	until := time.Now().Add(min(args.Wait, maxWait))
 	for {
 		state, changed := c.state.Changed()
@@ -180,6 +181,14 @@
 	return nil
 }
 
+// Join lets another control host into a group if this host leads it.
+func (m *peerMethods) Join(args messenger.JoinArgs, reply *messenger.CommandReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	*reply = m.c.admit(ctx, args)
+	return nil
+}
+
 func (c *Controller) changeMember(ctx context.Context, args messenger.MemberArgs) messenger.CommandReply {
 	mem, _, ok := c.place(args.Group)
 	if !ok || !c.ready.Load() {
--- a/process/proxier/proxier.go
+++ b/process/proxier/proxier.go
@@ -28,33 +28,37 @@
 	"github.com/gofiber/fiber/v3"
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
-	"github.com/valyala/fasthttp"
 
+	"github.com/hornbeamrack/hornbeamrack/common/journaler"
+	"github.com/hornbeamrack/hornbeamrack/connection/acceptor"
+	"github.com/hornbeamrack/hornbeamrack/connection/locator"
 	"github.com/hornbeamrack/hornbeamrack/connection/messenger"
 	"github.com/hornbeamrack/hornbeamrack/connection/registrar"
 	"github.com/hornbeamrack/hornbeamrack/process/configurer"
 	"github.com/hornbeamrack/hornbeamrack/process/subscriber"
 	"github.com/hornbeamrack/hornbeamrack/process/tracer"
+	"github.com/hornbeamrack/hornbeamrack/request/budgeter"
 	"github.com/hornbeamrack/hornbeamrack/request/executor"
 	"github.com/hornbeamrack/hornbeamrack/request/observer"
 	"github.com/hornbeamrack/hornbeamrack/request/quarantiner"
 	"github.com/hornbeamrack/hornbeamrack/request/receiver"
+	"github.com/hornbeamrack/hornbeamrack/request/translator"
 	"github.com/hornbeamrack/hornbeamrack/version/applier"
 	"github.com/hornbeamrack/hornbeamrack/version/compiler"
 )
 
 const (
-	maxRequestBody  = 4 << 20
-	maxHeaderBytes  = 16 << 10
-	callerReadTime  = 30 * time.Second
-	callerIdleTime  = 75 * time.Second
+	maxPeerHeader   = 64 << 10  // bytes
+	maxPeerBody     = 128 << 20 // bytes
 	peerIdleTime    = 60 * time.Second
-	maxConcurrency  = 4096
-	maxConnsPerIP   = 2048
 	announceTimeout = 5 * time.Second
-	maxAnnounceBody = 16 << 10
+	maxAnnounceBody = 16 << 10 // bytes
 	drainCheck      = 20 * time.Millisecond
 	leaveTimeout    = 2 * time.Second
+	// stopMargin is kept between the end of a planned stop and its limit.
+	stopMargin = 600 * time.Millisecond
+	// quietTime without a request shows that the callers have gone elsewhere.
+	quietTime = 500 * time.Millisecond
 )
 
 // Kind tells why the node could not run.
@@ -80,10 +84,13 @@
 
 // Proxier is one node. Exported fields are set before Open.
 type Proxier struct {
-	Settings configurer.Settings
-	Log      *log.Logger
-	Tracer   *tracer.Tracer
-	Wrap     func(net.Conn) net.Conn // Wrap, when set, sees each connection to control hosts, for counting.
+	Settings   configurer.Settings
+	Hosts      *locator.Locator
+	Log        *log.Logger
+	Journal    *journaler.Journal
+	Tracer     *tracer.Tracer
+	Translator translator.Translator
+	Wrap       func(net.Conn) net.Conn // Wrap, when set, sees each connection to control hosts, for counting.
 
 	keeper      compiler.Keeper
 	registrar   *registrar.Registrar
@@ -93,7 +100,9 @@
 	receiver    *receiver.Receiver
 	subscriber  *subscriber.Subscriber
 	pool        *messenger.Pool
-	listeners   [3]net.Listener
+	entry, peer *acceptor.Server
+	origin      atomic.Pointer[string]
+	listeners   [3]net.Listener // listeners stand at the places below.
 	draining    atomic.Bool
 }
 
@@ -108,6 +117,9 @@
 func (p *Proxier) Open() error {
 	n := p.Settings.Node
 	for i, address := range []string{n.EntryAddress, n.PeerAddress, n.AnnounceAddress} {
+		if address == "" {
+			continue
+		}
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			return &Error{"open", KindListen, err}
@@ -115,22 +127,62 @@
 		p.listeners[i] = l
 	}
 	p.pool = &messenger.Pool{Preface: messenger.PrefaceNode, MaxFrame: messenger.MaxNodeFrame, Wrap: p.Wrap}
-	client := &messenger.Client{Addresses: n.Control, Pool: p.pool}
+	client := &messenger.Client{Hosts: p.Hosts, Pool: p.pool}
 	p.registrar = &registrar.Registrar{Queue: n.Queue}
 	p.observer = &observer.Observer{Tables: &p.keeper}
 	p.quarantiner = &quarantiner.Quarantiner{Tables: &p.keeper, Reports: crashReports{p.Settings.Name, client}}
 	p.executor = &executor.Executor{
 		Targets: p.registrar, Claims: messenger.Claims{Client: client}, Observer: p.observer, Crashes: p.quarantiner,
-		Tracer: p.Tracer, Lifetime: n.ClaimLifetime.Duration(),
+		Tracer: p.Tracer, Translator: p.Translator, Lifetime: n.ClaimLifetime.Duration(),
+	}
+	p.receiver = &receiver.Receiver{
+		Node: p.Settings.Name, Tables: &p.keeper, Owner: p.executor, Tracer: p.Tracer, Translator: p.Translator,
+		Brakes: p.observer, Poison: p.quarantiner, Journal: p.Journal,
+		Budget: budgeter.Budgeter{Ratio: p.Settings.Retries.Ratio, Slack: p.Settings.Retries.Slack},
 	}
-	p.receiver = &receiver.Receiver{Node: p.Settings.Name, Tables: &p.keeper, Owner: p.executor, Tracer: p.Tracer, Brakes: p.observer, Poison: p.quarantiner}
+	p.SetOrigin(p.Settings.Edge.Service)
 	p.subscriber = &subscriber.Subscriber{
-		Node: p.Settings.Name, DataCentre: p.Settings.DataCentre, Address: n.PeerAddress, Addresses: n.Control,
+		Node: p.Settings.Name, DataCentre: p.Settings.DataCentre, Address: n.PeerAddress, Hosts: p.Hosts,
 		Keeper: &p.keeper, Registrar: p.registrar, Evidence: p.observer, Client: client, Log: p.Log, Wrap: p.Wrap,
 	}
+	p.entry = &acceptor.Server{Handler: p.receiver.Handle, Limits: p.callerLimits}
+	p.peer = &acceptor.Server{Handler: p.executor.Handle, Limits: peerLimits}
 	return nil
 }
 
+// SetOrigin names the service of the targets on this host.
+func (p *Proxier) SetOrigin(service string) {
+	p.origin.Store(&service)
+	p.receiver.SetOrigin(service)
+}
+
+// Origin returns the service of the targets on this host, empty for any.
+func (p *Proxier) Origin() string { return *p.origin.Load() }
+
+// Announce takes in a target of this host.
+func (p *Proxier) Announce(a registrar.Announcement) error { return p.registrar.Announce(a) }
+
+// Leave stops new work at a target of this host.
+func (p *Proxier) Leave(target string, startedAt int64) error {
+	return p.registrar.Leave(target, startedAt)
+}
+
+// callerLimits are what the configuration in force allows callers.
+func (p *Proxier) callerLimits() acceptor.Limits {
+	t := p.keeper.Table()
+	if t == nil {
+		return acceptor.Limits{}
+	}
+	l := t.Limits
+	return acceptor.Limits{HeaderBytes: l.HeaderBytes, BodyBytes: l.BodyBytes,
+		HeaderTimeout: l.HeaderTimeout.Duration(), IdleTimeout: l.IdleTimeout.Duration()}
+}
+
+// peerLimits let through whatever an entry node has let in, with its order.
+func peerLimits() acceptor.Limits {
+	return acceptor.Limits{HeaderBytes: maxPeerHeader, BodyBytes: maxPeerBody, IdleTimeout: peerIdleTime}
+}
+
 // crashReports takes reports of crashes to the control hosts.
 type crashReports struct {
 	node   string
@@ -154,22 +206,27 @@
 func (p *Proxier) Run(ctx context.Context) error {
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	entry := p.server(p.serveEntry, callerIdleTime)
-	peer := p.server(p.executor.Handle, peerIdleTime)
-	announce := p.announceApp()
 	var servers, tasks conc.WaitGroup
-	servers.Go(func() { _ = entry.Serve(p.listeners[entryPlace]) })
-	servers.Go(func() { _ = peer.Serve(p.listeners[peerPlace]) })
-	servers.Go(func() {
-		_ = announce.Listener(p.listeners[announcePlace], fiber.ListenConfig{DisableStartupMessage: true})
-	})
+	servers.Go(func() { p.serve(p.entry, p.listeners[entryPlace]) })
+	servers.Go(func() { p.serve(p.peer, p.listeners[peerPlace]) })
+	announce := p.announceApp()
+	if l := p.listeners[announcePlace]; l != nil {
+		servers.Go(func() { _ = announce.Listener(l, fiber.ListenConfig{DisableStartupMessage: true}) })
+	}
 	tasks.Go(func() { _ = p.subscriber.Run(work) })
 	<-ctx.Done()
-	p.drain()
-	stop, cancelStop := context.WithTimeout(context.Background(), p.Settings.StopTime.Duration())
+	limit := time.Now().Add(p.Settings.StopTime.Duration() - stopMargin)
+	p.drain(limit)
+	stop, cancelStop := context.WithDeadline(context.Background(), limit)
 	defer cancelStop()
-	_ = entry.ShutdownWithContext(stop)
-	_ = peer.ShutdownWithContext(stop)
+	for _, s := range []*acceptor.Server{p.entry, p.peer} {
+		if err := s.Shutdown(stop); err != nil {
+			p.Log.Warn("requests cut at the end of the stop", "err", err)
+		}
+	}
+	for _, l := range p.listeners[:announcePlace] {
+		_ = l.Close()
+	}
 	p.executor.Wait()
 	p.quarantiner.Wait()
 	_ = announce.ShutdownWithContext(stop)
@@ -180,33 +237,17 @@
 	return nil
 }
 
-func (p *Proxier) server(handler fasthttp.RequestHandler, idle time.Duration) *fasthttp.Server {
-	return &fasthttp.Server{
-		Handler: handler, ReadTimeout: callerReadTime, IdleTimeout: idle,
-		MaxRequestBodySize: maxRequestBody, ReadBufferSize: maxHeaderBytes,
-		Concurrency: maxConcurrency, MaxConnsPerIP: maxConnsPerIP,
-		NoDefaultServerHeader: true, CloseOnShutdown: true, SecureErrorLogMessage: true,
-		Logger: quiet{}, TCPKeepalive: true,
-	}
-}
-
-// quiet drops the server's lines about single connections; they are counted.
-type quiet struct{}
-
-// Printf implements fasthttp.Logger.
-func (quiet) Printf(string, ...any) {}
-
-func (p *Proxier) serveEntry(ctx *fasthttp.RequestCtx) {
-	p.receiver.Handle(ctx)
-	if p.draining.Load() {
-		ctx.Response.Header.SetConnectionClose()
+func (p *Proxier) serve(s *acceptor.Server, l net.Listener) {
+	if err := s.Serve(l); err != nil {
+		p.Log.Error("listener stopped", "address", l.Addr(), "err", err)
 	}
 }
 
-// drain takes the node's targets out of every table, and waits until no
-// request is in flight.
-func (p *Proxier) drain() {
+// drain takes the node's targets out of every table and serves on until the
+// callers have gone elsewhere and no request is in flight.
+func (p *Proxier) drain(limit time.Time) {
 	p.draining.Store(true)
+	p.entry.Drain()
 	until := time.Now().Add(p.Settings.Node.DrainTime.Duration())
 	leave, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
@@ -216,8 +257,7 @@
 	// Requests that other nodes send meanwhile are still served.
 	time.Sleep(time.Until(until))
 	p.registrar.LeaveAll()
-	limit := time.Now().Add(p.Settings.StopTime.Duration())
-	for time.Now().Before(limit) && (p.executor.InFlight() > 0 || p.receiver.InFlight() > 0) {
+	for time.Now().Before(limit) && (p.executor.InFlight() > 0 || p.entry.Open() > 0 || time.Since(p.entry.LastRequest()) < quietTime) {
 		time.Sleep(drainCheck)
 	}
 }
@@ -264,7 +304,7 @@
 	if err := json.Unmarshal(ctx.Body(), &a); err != nil {
 		return fiber.NewError(fiber.StatusBadRequest, "request body: "+err.Error())
 	}
-	if err := p.registrar.Leave(a.Target); err != nil {
+	if err := p.registrar.Leave(a.Target, 0); err != nil {
 		return announceFailure(err)
 	}
 	inFlight := 0
--- a/process/replicator/core.go
+++ b/process/replicator/core.go
@@ -65,7 +65,8 @@
 	entries    []recorder.Entry
 	unsaved    uint64 // unsaved is the first index that the recorder does not have; 0 when it has all.
 	synced     uint64
-	base       Membership // base is the membership at the snapshot.
+	base       Membership  // base is the membership at the snapshot.
+	newest     *Membership // newest is the membership at the end of the log, nil when it must be looked up.
 	role       Role
 	leader     string
 	commit     uint64
@@ -263,6 +264,7 @@
 	m := c.membershipAt(s.Index)
 	rest := slices.Clone(c.from(s.Index + 1))
 	c.snapshot, c.entries, c.base = s, rest, m
+	c.newest = nil
 	return rest
 }
 
@@ -277,7 +279,25 @@
 }
 
 // Membership returns the newest membership in the log, committed or not.
-func (c *Core) Membership() Membership { return c.membershipAt(c.last()) }
+func (c *Core) Membership() Membership {
+	if c.newest == nil {
+		m := c.membershipAt(c.last())
+		c.newest = &m
+	}
+	return *c.newest
+}
+
+// heardFrom tells a leader when each other member last answered it.
+func (c *Core) heardFrom() map[string]time.Time {
+	heard := make(map[string]time.Time, len(c.peers))
+	for id, p := range c.peers {
+		heard[id] = p.ackedAt
+		if p.ackedAt.Before(c.electedAt) {
+			heard[id] = c.electedAt
+		}
+	}
+	return heard
+}
 
 func (c *Core) membershipAt(index uint64) Membership {
 	for i := len(c.entries) - 1; i >= 0; i-- {
@@ -339,6 +359,9 @@
 
 func (c *Core) append(e recorder.Entry) {
 	c.entries = append(c.entries, e)
+	if e.Kind == recorder.EntryMembership {
+		c.newest = nil
+	}
 	if c.unsaved == 0 || e.Index < c.unsaved {
 		c.unsaved = e.Index
 	}
@@ -350,6 +373,7 @@
 		return false
 	}
 	c.entries = slices.Clone(c.entries[:index-c.snapshot.Index-1])
+	c.newest = nil
 	c.synced = min(c.synced, index-1)
 	return true
 }
--- a/process/replicator/election.go
+++ b/process/replicator/election.go
@@ -255,6 +255,7 @@
 		rest = slices.Clone(c.from(s.Index + 1))
 	}
 	c.snapshot, c.base, c.entries = s, m, rest
+	c.newest = nil
 	c.commit, c.handed = s.Index, s.Index
 	c.effects.Snapshot = &s
 	c.send(e.From, AppendReply{Match: s.Index, SentAt: req.SentAt})
--- a/process/replicator/replicator.go
+++ b/process/replicator/replicator.go
@@ -71,6 +71,14 @@
 	Applied    uint64     `json:"applied"`
 	Membership Membership `json:"membership"`
 	Lagging    []Lag      `json:"lagging,omitempty"`
+
+	heard map[string]time.Time
+}
+
+// SilentSince returns when a leader last heard from a member.
+func (s Status) SilentSince(id string) (time.Time, bool) {
+	at, ok := s.heard[id]
+	return at, ok
 }
 
 // Lag tells how far a member is behind its leader, in entries.
@@ -388,6 +396,9 @@
 			s.Lagging = append(s.Lagging, Lag{ID: id, Entries: c.commit - p.match})
 		}
 	}
+	if c.role == RoleLeader {
+		s.heard = c.heardFrom()
+	}
 	g.mu.Lock()
 	g.status = s
 	g.mu.Unlock()
--- a/process/subscriber/subscriber.go
+++ b/process/subscriber/subscriber.go
@@ -10,7 +10,7 @@
 //
 // # Usage
 //
-//	s := &subscriber.Subscriber{Node: "host-a", Addresses: addresses, Keeper: keeper, Registrar: registrar}
+//	s := &subscriber.Subscriber{Node: "host-a", Hosts: hosts, Keeper: keeper, Registrar: registrar}
 //	err := s.Run(ctx)
 package subscriber
 
@@ -28,6 +28,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/hornbeamrack/hornbeamrack/common/sleeper"
+	"github.com/hornbeamrack/hornbeamrack/connection/locator"
 	"github.com/hornbeamrack/hornbeamrack/connection/messenger"
 	"github.com/hornbeamrack/hornbeamrack/connection/registrar"
 	"github.com/hornbeamrack/hornbeamrack/version/applier"
@@ -43,6 +44,8 @@
 	expireInterval = 500 * time.Millisecond
 	firstBackoff   = 50 * time.Millisecond
 	maxBackoff     = 2 * time.Second
+	// startSpread spreads the first calls of nodes over the control hosts.
+	startSpread = 1 << 16
 )
 
 // EvidenceProvider gives what the node saw since the last call.
@@ -58,7 +61,7 @@
 	Node       string
 	DataCentre string
 	Address    string // Address is where other nodes send requests for this node's targets.
-	Addresses  []string
+	Hosts      *locator.Locator
 	Keeper     *compiler.Keeper
 	Registrar  *registrar.Registrar
 	Evidence   EvidenceProvider // Evidence may be nil.
@@ -137,14 +140,16 @@
 func (s *Subscriber) syncLoop(ctx context.Context) {
 	pause := newBackoff()
 	// Nodes begin at different hosts, so that none gets them all.
-	next := int(s.incarnation % uint64(len(s.Addresses)))
+	next := int(s.incarnation % startSpread)
+	address := s.Hosts.At(next)
 	for ctx.Err() == nil {
-		if s.syncOnce(ctx, s.Addresses[next%len(s.Addresses)]) {
+		if s.syncOnce(ctx, address) {
 			pause.Reset()
 			continue
 		}
-		s.setConnected(false, s.Addresses[next%len(s.Addresses)])
+		s.setConnected(false, address)
 		next++
+		address = s.Hosts.At(next)
 		sleeper.Sleep(ctx, pause.NextBackOff())
 	}
 }
@@ -168,6 +173,7 @@
 		}
 		return false
 	}
+	s.Hosts.Learn(reply.Hosts)
 	if err := s.apply(reply.Update, args.Have); err != nil {
 		rejectedTotal.Inc()
 		s.Log.Warn("update rejected", "from", address, "err", err)
--- a/request/checker/checker.go
+++ b/request/checker/checker.go
@@ -39,8 +39,12 @@
 	HeaderReason = "Hornbeam-Reason"
 	// HeaderServed names the target version and the target that answered.
 	HeaderServed = "Hornbeam-Served"
+	// HeaderLoad carries what the owner node says of its target's load.
+	HeaderLoad = "Hornbeam-Load"
 	// HeaderOrder carries the entry node's order to the owner node.
 	HeaderOrder = "Hornbeam-Order"
+	// HeaderAttempt carries the offer that an owner node answers.
+	HeaderAttempt = "Hornbeam-Attempt"
 	// HeaderRequestID carries the request's id to the target, which may echo it.
 	HeaderRequestID = "X-Request-Id"
 )
@@ -114,21 +118,17 @@
 	return bytes.EqualFold(name, []byte(HeaderDeadline)) || bytes.EqualFold(name, []byte(HeaderKey))
 }
 
-// Deadline returns the earlier of the caller's deadline and the latest one
-// allowed.
-func Deadline(h *fasthttp.RequestHeader, latest time.Time) (time.Time, error) {
+// Deadline returns the caller's deadline, zero when it names none.
+func Deadline(h *fasthttp.RequestHeader) (time.Time, error) {
 	raw := h.Peek(HeaderDeadline)
 	if len(raw) == 0 {
-		return latest, nil
+		return time.Time{}, nil
 	}
 	ms, err := strconv.ParseInt(string(raw), 10, 64)
 	if err != nil {
-		return latest, &Error{"deadline", KindInvalid, errors.Errorf("%s is not a time in Unix milliseconds", HeaderDeadline)}
+		return time.Time{}, &Error{"deadline", KindInvalid, errors.Errorf("%s is not a time in Unix milliseconds", HeaderDeadline)}
 	}
-	if own := time.UnixMilli(ms); own.Before(latest) {
-		return own, nil
-	}
-	return latest, nil
+	return time.UnixMilli(ms), nil
 }
 
 var hopByHop = []string{"Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Upgrade"}
@@ -154,7 +154,7 @@
 	for _, name := range hopByHop {
 		h.Del(name)
 	}
-	for _, name := range []string{HeaderOutcome, HeaderReason, HeaderServed, HeaderOrder} {
+	for _, name := range []string{HeaderOutcome, HeaderReason, HeaderServed, HeaderOrder, HeaderLoad, HeaderAttempt} {
 		h.Del(name)
 	}
 }
@@ -184,3 +184,13 @@
 	}
 	return d.Sum64()
 }
+
+// Path returns the path of a request as the caller wrote it, without the query.
+func Path(req *fasthttp.Request) string {
+	uri := req.Header.RequestURI()
+	if len(uri) == 0 || uri[0] != '/' {
+		return string(req.URI().Path()) // The caller named a whole URL.
+	}
+	path, _, _ := bytes.Cut(uri, []byte("?"))
+	return string(path)
+}
--- a/request/executor/executor.go
+++ b/request/executor/executor.go
@@ -12,7 +12,7 @@
 // # Usage
 //
 //	x := &executor.Executor{Targets: registrar, Claims: provider, Tracer: tracer}
-//	report := x.Execute(&ctx.Request, &ctx.Response, order, done)
+//	report := x.Execute(ctx, &ex.Request, &ex.Response, order, done)
 //
 // Handle is the same for requests that come from other nodes.
 package executor
@@ -20,7 +20,6 @@
 import (
 	"context"
 	"fmt"
-	"strconv"
 	"sync"
 	"time"
 
@@ -28,24 +27,14 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
-	"github.com/hornbeamrack/hornbeamrack/common/asserter"
-	"github.com/hornbeamrack/hornbeamrack/common/sleeper"
+	"github.com/hornbeamrack/hornbeamrack/connection/acceptor"
 	"github.com/hornbeamrack/hornbeamrack/connection/registrar"
 	"github.com/hornbeamrack/hornbeamrack/process/tracer"
 	"github.com/hornbeamrack/hornbeamrack/request/checker"
 	"github.com/hornbeamrack/hornbeamrack/request/claimer"
 	"github.com/hornbeamrack/hornbeamrack/request/forwarder"
 	"github.com/hornbeamrack/hornbeamrack/request/limiter"
-)
-
-const (
-	// settleTimeout bounds the storing of an answer or the release of a claim.
-	settleTimeout = 30 * time.Second
-	// claimTimeout bounds a claim; after it the request is refused.
-	claimTimeout = 2 * time.Second
-	settlePause  = 200 * time.Millisecond
-	// heldPause is the time before the second look at a claim that another attempt holds.
-	heldPause = 25 * time.Millisecond
+	"github.com/hornbeamrack/hornbeamrack/request/translator"
 )
 
 // Kind tells why an order was refused.
@@ -69,35 +58,6 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// Reason says why a request has no answer of a target.
-type Reason string
-
-// The reasons that nodes give.
-const (
-	ReasonNone       Reason = ""
-	ReasonNoTarget   Reason = "noTarget"   // ReasonNoTarget means that the target left or is not known here.
-	ReasonLimit      Reason = "limit"      // ReasonLimit means that no slot became free.
-	ReasonDeadline   Reason = "deadline"   // ReasonDeadline means that time ran out.
-	ReasonDial       Reason = "dial"       // ReasonDial means that no connection could be made.
-	ReasonClaim      Reason = "claim"      // ReasonClaim means that the key could not be claimed in time.
-	ReasonHeld       Reason = "held"       // ReasonHeld means that an earlier attempt may have run.
-	ReasonMismatch   Reason = "mismatch"   // ReasonMismatch means that the key belongs to another request.
-	ReasonBroken     Reason = "broken"     // ReasonBroken means that the answer was cut off.
-	ReasonCrossed    Reason = "crossed"    // ReasonCrossed means that the answer was to another request.
-	ReasonCrash      Reason = "crash"      // ReasonCrash means that the target died with the request in flight.
-	ReasonPoison     Reason = "poison"     // ReasonPoison means that the request has crashed too many targets.
-	ReasonNoRoute    Reason = "noRoute"    // ReasonNoRoute means that the configuration has no route.
-	ReasonNotReady   Reason = "notReady"   // ReasonNotReady means that the node has no confirmed configuration.
-	ReasonBadRequest Reason = "badRequest" // ReasonBadRequest means that the request is malformed.
-)
-
-// Report says how an order ended.
-type Report struct {
-	Outcome  forwarder.Outcome
-	Reason   Reason
-	Replayed bool // Replayed means that the answer is the stored one of an earlier attempt.
-}
-
 // Observation is what the owner node saw of one request at one target.
 type Observation struct {
 	Service, Version, Route string
@@ -130,7 +90,9 @@
 	Observer ObservationProvider // Observer may be nil.
 	Crashes  CrashProvider
 	Tracer   *tracer.Tracer
-	Lifetime time.Duration // Lifetime is how long a key is remembered; claimer.DefaultLifetime when zero.
+	// Translator speaks to the targets.
+	Translator translator.Translator
+	Lifetime   time.Duration // Lifetime is how long a key is remembered; claimer.DefaultLifetime when zero.
 
 	background conc.WaitGroup
 	mu         sync.Mutex
@@ -148,44 +110,45 @@
 }
 
 // Handle serves a request from another node.
-func (x *Executor) Handle(ctx *fasthttp.RequestCtx) {
-	o, err := DecodeOrder(string(ctx.Request.Header.Peek(checker.HeaderOrder)))
+func (x *Executor) Handle(ex *acceptor.Exchange) {
+	h := &ex.Request.Header
+	o, err := DecodeOrder(string(h.Peek(checker.HeaderOrder)), time.Now())
 	if err != nil {
-		Refuse(&ctx.Response, Report{Outcome: forwarder.OutcomeNotRun, Reason: ReasonBadRequest}, err.Error())
+		translator.Own{}.WriteRefusal(&ex.Response, translator.Refusal{Report: translator.NotRun(translator.ReasonBadRequest), Detail: err.Error()})
 		return
 	}
-	ctx.Request.Header.Del(checker.HeaderOrder)
-	report := x.Execute(&ctx.Request, &ctx.Response, o, func() {})
-	ctx.Response.Header.Set(checker.HeaderOutcome, string(report.Outcome))
-	if report.Reason != ReasonNone {
-		ctx.Response.Header.Set(checker.HeaderReason, string(report.Reason))
-	}
-	ctx.Response.Header.Set(checker.HeaderRequestID, o.RequestID)
+	h.Del(checker.HeaderOrder)
+	report := x.Execute(ex.Context(), &ex.Request, &ex.Response, o, func() {})
+	WriteReport(&ex.Response.Header, report)
+	ex.Response.Header.Set(checker.HeaderAttempt, o.Attempt)
 }
 
-// Execute carries out one order. Unless the outcome is ran, resp holds an
-// error for the caller. done is called once, after the answer was passed on.
-func (x *Executor) Execute(req *fasthttp.Request, resp *fasthttp.Response, o Order, done func()) Report {
+// Execute carries out one order. Unless the outcome is ran, resp holds a
+// refusal. The end of ctx means that nobody waits any more. done is called
+// once, after the answer was passed on.
+func (x *Executor) Execute(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, o Order, done func()) translator.Report {
 	span := x.Tracer.Start(&req.Header, "owner")
 	defer span.End()
-	report, detail := x.execute(req, resp, o, done)
+	report, detail := x.execute(ctx, req, resp, o, done)
 	span.Set("target", o.Target)
 	span.Set("outcome", string(report.Outcome))
 	if report.Outcome != forwarder.OutcomeRan {
-		Refuse(resp, report, detail)
+		translator.Own{}.WriteRefusal(resp, translator.Refusal{Report: report, Detail: detail})
 	}
 	return report
 }
 
-func (x *Executor) execute(req *fasthttp.Request, resp *fasthttp.Response, o Order, done func()) (Report, string) {
+func (x *Executor) execute(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, o Order, done func()) (translator.Report, string) {
 	t, ok := x.Targets.Find(o.Target)
 	if !ok {
 		done()
-		return notRun(ReasonNoTarget), "the target is not known here"
+		return translator.NotRun(translator.ReasonNoTarget), "the target is not known here"
 	}
-	if err := t.Limiter.Acquire(o.Deadline, o.Rank); err != nil {
+	if err := t.Limiter.Acquire(ctx, o.WaitTill, o.Rank); err != nil {
 		done()
-		return notRun(limitReason(err)), err.Error()
+		report := translator.NotRun(limitReason(err))
+		report.Load = t.Load()
+		return report, err.Error()
 	}
 	x.count(1)
 	release := func() {
@@ -193,19 +156,26 @@
 		x.count(-1)
 		done()
 	}
+	if o.Unsafe {
+		// What may have run is never broken off: its outcome would be unknown.
+		ctx = context.WithoutCancel(ctx)
+	}
 	if o.Stream && !o.Unsafe {
-		return x.handOver(req, resp, t, o, func() error { return t.Forwarder.Stream(req, resp, o.Deadline, release) })
+		return x.handOver(req, resp, t, o, func() error { return t.Forwarder.Stream(ctx, req, resp, o.Deadline, release) })
 	}
 	defer release()
-	return x.claimed(req, resp, t, o)
+	return x.claimed(ctx, req, resp, t, o)
 }
 
 // limitReason tells a target that leaves from one that is busy.
-func limitReason(err error) Reason {
-	if limiter.IsKind(err, limiter.KindClosed) {
-		return ReasonNoTarget
+func limitReason(err error) translator.Reason {
+	switch {
+	case limiter.IsKind(err, limiter.KindClosed):
+		return translator.ReasonNoTarget
+	case limiter.IsKind(err, limiter.KindHungUp):
+		return translator.ReasonHungUp
 	}
-	return ReasonLimit
+	return translator.ReasonLimit
 }
 
 func (x *Executor) count(n int) {
@@ -214,164 +184,68 @@
 	x.inFlight += n
 }
 
-// claimed hands the request over under a claim if it needs one.
-func (x *Executor) claimed(req *fasthttp.Request, resp *fasthttp.Response, t *registrar.Target, o Order) (Report, string) {
-	key := req.Header.Peek(checker.HeaderIdempotencyKey)
-	send := func() error { return t.Forwarder.Do(req, resp, o.Deadline) }
-	if !o.Unsafe || len(key) == 0 {
-		return x.handOver(req, resp, t, o, send)
-	}
-	c := claimer.Command{Key: t.Service + "\x00" + string(key), Attempt: o.RequestID, Fingerprint: checker.Fingerprint(req)}
-	report, detail, granted := x.claim(req, resp, c, o)
-	if !granted {
-		return report, detail
-	}
-	report, detail = x.handOver(req, resp, t, o, send)
-	switch report.Outcome {
-	case forwarder.OutcomeRan:
-		x.settle(c, resp)
-	case forwarder.OutcomeNotRun:
-		x.release(c)
-	case forwarder.OutcomeUnknown:
-		// The claim stays: the request may have run, so it never runs again.
-	}
-	return report, detail
-}
-
-// claim asks for the right to run the request.
-func (x *Executor) claim(req *fasthttp.Request, resp *fasthttp.Response, c claimer.Command, o Order) (Report, string, bool) {
-	span := x.Tracer.Child(&req.Header, "claim")
-	defer span.End()
-	deadline := time.Now().Add(claimTimeout)
-	if o.Deadline.Before(deadline) {
-		deadline = o.Deadline
-	}
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	lifetime := x.Lifetime
-	if lifetime == 0 {
-		lifetime = claimer.DefaultLifetime
-	}
-	c.Action, c.Lifetime = claimer.ActionClaim, lifetime
-	result, err := x.askUntilKnown(ctx, c)
-	if err != nil {
-		// The claim may have been granted; it must not block a later try.
-		x.release(c)
-		return notRun(ReasonClaim), err.Error(), false
-	}
-	switch result.Verdict {
-	case claimer.VerdictGranted:
-		return Report{}, "", true
-	case claimer.VerdictSettled:
-		replay(resp, result.Answer)
-		return Report{Outcome: forwarder.OutcomeRan, Replayed: true}, "", false
-	case claimer.VerdictHeld:
-		return Report{Outcome: forwarder.OutcomeUnknown, Reason: ReasonHeld}, "an earlier attempt with this key may have run", false
-	case claimer.VerdictMismatch:
-		return notRun(ReasonMismatch), "the key was used for another request", false
-	}
-	return notRun(ReasonClaim), "no further keys can be remembered", false
-}
-
-// askUntilKnown claims a key. While another attempt holds it, that attempt may
-// still be running, so its outcome is waited for until ctx ends. Each look is an
-// entry in the log, so the pauses between them grow.
-func (x *Executor) askUntilKnown(ctx context.Context, c claimer.Command) (claimer.Result, error) {
-	for pause := heldPause; ; pause *= 2 {
-		result, err := x.Claims.Do(ctx, c)
-		if err != nil || result.Verdict != claimer.VerdictHeld {
-			return result, err
-		}
-		sleeper.Sleep(ctx, pause)
-		if ctx.Err() != nil {
-			return result, nil
-		}
-	}
-}
-
-func replay(resp *fasthttp.Response, a *claimer.Answer) {
-	resp.Reset()
-	resp.SetStatusCode(a.Status)
-	if a.ContentType != "" {
-		resp.Header.SetContentType(a.ContentType)
-	}
-	resp.SetBody(a.Body)
-}
-
-// settle stores the answer for resends, beside the answer's way to the caller.
-func (x *Executor) settle(c claimer.Command, resp *fasthttp.Response) {
-	a := &claimer.Answer{Status: resp.StatusCode(), ContentType: string(resp.Header.ContentType())}
-	if body := resp.Body(); len(body) <= claimer.MaxStoredBody {
-		a.Body = append([]byte(nil), body...)
-	} else {
-		a.Truncated = true
-	}
-	c.Action, c.Answer = claimer.ActionSettle, a
-	x.background.Go(func() { x.persist(c) })
-}
-
-func (x *Executor) release(c claimer.Command) {
-	c.Action = claimer.ActionRelease
-	x.background.Go(func() { x.persist(c) })
-}
-
-// persist repeats a command that is idempotent until it is done.
-func (x *Executor) persist(c claimer.Command) {
-	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
-	defer cancel()
-	for ctx.Err() == nil {
-		if _, err := x.Claims.Do(ctx, c); err == nil {
-			return
-		}
-		sleeper.Sleep(ctx, settlePause)
-	}
-}
-
 // handOver sends the request to the target, once.
-func (x *Executor) handOver(req *fasthttp.Request, resp *fasthttp.Response, t *registrar.Target, o Order, send func() error) (Report, string) {
+func (x *Executor) handOver(req *fasthttp.Request, resp *fasthttp.Response, t *registrar.Target, o Order, send func() error) (translator.Report, string) {
 	checker.StripRequest(&req.Header)
-	req.Header.Set(checker.HeaderRequestID, o.RequestID)
-	req.Header.Set(checker.HeaderDeadline, strconv.FormatInt(o.Deadline.UnixMilli(), 10))
+	x.Translator.WriteRequest(&req.Header, translator.HandOver{RequestID: o.RequestID, Target: t.Target, Origin: o.Origin, Deadline: o.Deadline})
 	start := time.Now()
 	err := send()
-	if err == nil && crossed(resp, o) {
+	latency := time.Since(start)
+	if broken(err) && !t.Alive() {
+		return x.crashed(req, resp, t, o, latency)
+	}
+	if err != nil {
+		x.observe(t, o, !hungUp(err), latency)
 		resp.Reset()
-		t.Forwarder.Close()
-		err = &Error{"handOver", KindInvalid, errors.New("the answer names another request")}
+		return translator.Report{Outcome: forwarder.OutcomeOf(err), Reason: ReasonOf(err), Load: t.Load()}, err.Error()
 	}
-	if broken(err) && !t.Alive() {
-		return x.crashed(req, resp, t, o, time.Since(start))
+	return x.judge(resp, t, o, latency)
+}
+
+// judge decides whether an answer is the target's own whole answer to this
+// request.
+func (x *Executor) judge(resp *fasthttp.Response, t *registrar.Target, o Order, latency time.Duration) (translator.Report, string) {
+	a := x.Translator.ReadAnswer(resp)
+	switch {
+	case a.NotRun:
+		report := translator.NotRun(translator.ReasonShed)
+		report.Load = t.Load()
+		return report, "the target refused the request"
+	case a.RequestID != "" && a.RequestID != o.RequestID:
+		t.Forwarder.Close()
+		x.observe(t, o, true, latency)
+		return translator.Unknown(translator.ReasonCrossed), "the answer names another request"
+	case !a.Genuine:
+		x.observe(t, o, true, latency)
+		return translator.Unknown(translator.ReasonBroken), "the answer lacks the signs of the target's own"
 	}
-	x.observe(t, o, err != nil || resp.StatusCode() >= fasthttp.StatusInternalServerError, time.Since(start))
-	if err == nil {
-		checker.StripResponse(&resp.Header)
-		resp.Header.Set(checker.HeaderServed, t.Version+" "+t.Target)
-		return Report{Outcome: forwarder.OutcomeRan}, ""
+	failed := resp.StatusCode() >= fasthttp.StatusInternalServerError
+	x.observe(t, o, failed, latency)
+	if !failed {
+		t.Served(latency)
 	}
-	resp.Reset()
-	return Report{Outcome: forwarder.OutcomeOf(err), Reason: ReasonOf(err)}, err.Error()
+	checker.StripResponse(&resp.Header)
+	resp.Header.Set(checker.HeaderServed, t.Version+" "+t.Target)
+	return translator.Report{Outcome: forwarder.OutcomeRan, Load: t.Load()}, ""
 }
 
 // broken reports whether the target hung up before its whole answer came.
-func broken(err error) bool {
-	var e *forwarder.Error
-	return errors.As(err, &e) && e.Kind == forwarder.KindBroken
+func broken(err error) bool { return forwarder.IsKind(err, forwarder.KindBroken) }
+
+// hungUp reports whether it was the caller who ended the request.
+func hungUp(err error) bool {
+	return forwarder.IsKind(err, forwarder.KindCancelled) || forwarder.IsKind(err, forwarder.KindAbandoned)
 }
 
 // crashed ends a request whose target died. All requests in flight are under
 // suspicion, but the version is blamed for one failure only.
-func (x *Executor) crashed(req *fasthttp.Request, resp *fasthttp.Response, t *registrar.Target, o Order, latency time.Duration) (Report, string) {
+func (x *Executor) crashed(req *fasthttp.Request, resp *fasthttp.Response, t *registrar.Target, o Order, latency time.Duration) (translator.Report, string) {
 	x.Crashes.Crashed(t.Service, req)
 	if t.CrashedFirst() {
 		x.observe(t, o, true, latency)
 	}
 	resp.Reset()
-	return Report{Outcome: forwarder.OutcomeUnknown, Reason: ReasonCrash}, "the target died with the request in flight"
-}
-
-func crossed(resp *fasthttp.Response, o Order) bool {
-	echo := resp.Header.Peek(checker.HeaderRequestID)
-	return len(echo) > 0 && string(echo) != o.RequestID
+	return translator.Unknown(translator.ReasonCrash), "the target died with the request in flight"
 }
 
 func (x *Executor) observe(t *registrar.Target, o Order, failed bool, latency time.Duration) {
@@ -381,48 +255,18 @@
 }
 
 // ReasonOf tells why forwarding failed.
-func ReasonOf(err error) Reason {
+func ReasonOf(err error) translator.Reason {
 	var e *forwarder.Error
 	if !errors.As(err, &e) {
-		return ReasonCrossed
+		return translator.ReasonCrossed
 	}
 	switch e.Kind {
 	case forwarder.KindDial, forwarder.KindNoConn:
-		return ReasonDial
+		return translator.ReasonDial
 	case forwarder.KindTimeout, forwarder.KindExpired:
-		return ReasonDeadline
-	}
-	return ReasonBroken
-}
-
-func notRun(r Reason) Report { return Report{Outcome: forwarder.OutcomeNotRun, Reason: r} }
-
-// Refuse writes an error answer that says whether the request ran.
-func Refuse(resp *fasthttp.Response, r Report, detail string) {
-	resp.Reset()
-	resp.SetStatusCode(statusOf(r))
-	resp.Header.SetContentType("application/json")
-	resp.Header.Set(checker.HeaderOutcome, string(r.Outcome))
-	resp.Header.Set(checker.HeaderReason, string(r.Reason))
-	asserter.That(r.Outcome != "", "outcomeKnown", "%s", detail)
-	resp.SetBodyString(fmt.Sprintf("{\"outcome\":%q,\"reason\":%q,\"detail\":%q}\n", r.Outcome, r.Reason, detail))
-}
-
-func statusOf(r Report) int {
-	switch r.Reason {
-	case ReasonBadRequest:
-		return fasthttp.StatusBadRequest
-	case ReasonNoRoute:
-		return fasthttp.StatusNotFound
-	case ReasonMismatch:
-		return fasthttp.StatusUnprocessableEntity
-	case ReasonHeld:
-		return fasthttp.StatusConflict
-	case ReasonDeadline:
-		return fasthttp.StatusGatewayTimeout
-	}
-	if r.Outcome == forwarder.OutcomeUnknown {
-		return fasthttp.StatusBadGateway
+		return translator.ReasonDeadline
+	case forwarder.KindCancelled, forwarder.KindAbandoned:
+		return translator.ReasonHungUp
 	}
-	return fasthttp.StatusServiceUnavailable
+	return translator.ReasonBroken
 }
--- a/request/executor/order.go
+++ b/request/executor/order.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -10,40 +11,62 @@
 
 // Order is what an entry node asks of an owner node, beside the request.
 type Order struct {
-	RequestID string
+	RequestID string // RequestID is the request's, the same for each endpoint that it is offered to.
+	Attempt   string // Attempt is this offer's own; it is never used twice.
 	Target    string
 	Route     string // Route is the path of the route, for the evidence on target versions.
 	Unsafe    bool   // Unsafe means that the request is not idempotent.
 	Stream    bool
-	Rank      int // Rank is the importance; higher goes first.
+	Rank      int    // Rank is the importance; higher goes first.
+	Origin    string // Origin is the service on the host where the request began.
 	Deadline  time.Time
+	WaitTill  time.Time // WaitTill is until when the request may wait for a slot.
 }
 
-const orderFields = 7
+const orderFields = 10
 
-// Encode writes an order as one header value.
-func (o Order) Encode() string {
+// Encode writes an order as one header value. Times go as what is left of
+// them, since clocks differ between hosts.
+func (o Order) Encode(now time.Time) string {
 	return strings.Join([]string{
-		o.RequestID, o.Target, o.Route, strconv.FormatBool(o.Unsafe), strconv.FormatBool(o.Stream),
-		strconv.Itoa(o.Rank), strconv.FormatInt(o.Deadline.UnixMilli(), 10),
+		url.QueryEscape(o.RequestID), url.QueryEscape(o.Target), url.QueryEscape(o.Route),
+		strconv.FormatBool(o.Unsafe), strconv.FormatBool(o.Stream), strconv.Itoa(o.Rank), url.QueryEscape(o.Origin),
+		strconv.FormatInt(o.Deadline.Sub(now).Microseconds(), 10), strconv.FormatInt(o.WaitTill.Sub(now).Microseconds(), 10), o.Attempt,
 	}, ";")
 }
 
-// DecodeOrder reads an order.
-func DecodeOrder(value string) (Order, error) {
+// DecodeOrder reads an order that arrived at the time now.
+func DecodeOrder(value string, now time.Time) (Order, error) {
 	f := strings.Split(value, ";")
 	if len(f) != orderFields {
 		return Order{}, &Error{"decodeOrder", KindInvalid, errors.Errorf("%d fields, want %d", len(f), orderFields)}
 	}
-	o := Order{RequestID: f[0], Target: f[1], Route: f[2], Unsafe: f[3] == "true", Stream: f[4] == "true"}
+	var o Order
+	for _, t := range []struct {
+		field string
+		value *string
+	}{{f[0], &o.RequestID}, {f[1], &o.Target}, {f[2], &o.Route}, {f[6], &o.Origin}} {
+		text, err := url.QueryUnescape(t.field)
+		if err != nil {
+			return Order{}, &Error{"decodeOrder", KindInvalid, err}
+		}
+		*t.value = text
+	}
+	o.Unsafe, o.Stream, o.Attempt = f[3] == "true", f[4] == "true", f[9]
 	rank, err := strconv.Atoi(f[5])
 	if err != nil {
 		return Order{}, &Error{"decodeOrder", KindInvalid, err}
 	}
-	ms, err := strconv.ParseInt(f[6], 10, 64)
-	if err != nil {
-		return Order{}, &Error{"decodeOrder", KindInvalid, err}
+	o.Rank = rank
+	for _, t := range []struct {
+		field string
+		value *time.Time
+	}{{f[7], &o.Deadline}, {f[8], &o.WaitTill}} {
+		left, err := strconv.ParseInt(t.field, 10, 64)
+		if err != nil {
+			return Order{}, &Error{"decodeOrder", KindInvalid, err}
+		}
+		*t.value = now.Add(time.Duration(left) * time.Microsecond)
 	}
-	o.Rank, o.Deadline = rank, time.UnixMilli(ms)
 	return o, nil
 }
--- a/request/forwarder/forwarder.go
+++ b/request/forwarder/forwarder.go
@@ -2,39 +2,54 @@
 // about whether it ran.
 //
 // A Forwarder makes exactly one attempt: retries are the receiver's decision.
-// A connection whose request failed or timed out is closed and never used
-// again, so a late answer can reach nobody else. Streamed answers are passed
-// on as they come; a stream that stalls is cut.
+// Each connection has a goroutine that reads. Bytes that come while no request
+// is out belong to nobody, so they end the connection; so does a peer that
+// closes. A connection whose request failed, timed out or was cancelled is
+// closed and never used again, so a late answer can reach nobody else.
+//
+// fasthttp's client is not used: it rewrites the path, it cannot be cancelled,
+// and it takes bytes that arrive between two requests for the next answer.
 //
 // # Usage
 //
 //	f := &forwarder.Forwarder{Address: "10.0.0.7:7101", Connections: 100}
-//	err := f.Do(&ctx.Request, &ctx.Response, deadline)
+//	err := f.Do(ctx, &x.Request, &x.Response, deadline)
 //	outcome := forwarder.OutcomeOf(err)
+//
+// Lock order: Forwarder.mu, then link.mu.
 package forwarder
 
 import (
+	"context"
 	"fmt"
-	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 )
 
 const (
 	// StallTimeout cuts a streamed answer that sends nothing for so long.
 	StallTimeout = 10 * time.Second
 	// MaxAnswer bounds an answer that is not streamed, in bytes.
-	MaxAnswer = 8 << 20
+	MaxAnswer = 64 << 20
 
 	dialTimeout = 500 * time.Millisecond
-	// idleTimeout is shorter than the usual keep-alive of servers, so that
+	// defaultIdle is shorter than the usual keep-alive of servers, so that
 	// the server is seldom the one to close.
-	idleTimeout = 4 * time.Second
-	bufferBytes = 16 << 10
+	defaultIdle = 4 * time.Second
+	// unackedTimeout ends a connection whose peer acknowledges nothing.
+	unackedTimeout = time.Second
+	probeIdle      = time.Second
+	probeInterval  = time.Second
+	probeCount     = 2
+	// smallBody fits into the socket's buffer, so that writing it does not block.
+	smallBody = 2 << 10
 )
 
 // Outcome is what is known about whether a request ran.
@@ -52,11 +67,13 @@
 
 // The kinds of forwarding errors.
 const (
-	KindDial    Kind = "dial"
-	KindNoConn  Kind = "noConnection"
-	KindExpired Kind = "expired" // KindExpired means that the deadline had passed before the request was sent.
-	KindTimeout Kind = "timeout"
-	KindBroken  Kind = "broken"
+	KindDial      Kind = "dial"
+	KindNoConn    Kind = "noConnection"
+	KindExpired   Kind = "expired" // KindExpired means that the deadline had passed before the request was sent.
+	KindTimeout   Kind = "timeout"
+	KindBroken    Kind = "broken"
+	KindCancelled Kind = "cancelled" // KindCancelled means that the caller hung up while the request was out.
+	KindAbandoned Kind = "abandoned" // KindAbandoned means that the caller hung up before it was sent.
 )
 
 // Error is the only error type of this package.
@@ -72,14 +89,23 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
+// IsKind reports whether err is an Error of the given kind.
+func IsKind(err error, kind Kind) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind == kind
+}
+
 // OutcomeOf tells what an error of Do says about the request.
 func OutcomeOf(err error) Outcome {
 	var e *Error
-	switch {
-	case err == nil:
+	if err == nil {
 		return OutcomeRan
-	case errors.As(err, &e) && (e.Kind == KindDial || e.Kind == KindNoConn || e.Kind == KindExpired):
-		return OutcomeNotRun
+	}
+	if errors.As(err, &e) {
+		switch e.Kind {
+		case KindDial, KindNoConn, KindExpired, KindAbandoned:
+			return OutcomeNotRun
+		}
 	}
 	return OutcomeUnknown
 }
@@ -88,152 +114,191 @@
 // the first Do.
 type Forwarder struct {
 	Address     string
-	Connections int // Connections bounds the connections, at least one of them for streams.
+	Connections int // Connections bounds the connections.
 
-	once     sync.Once
-	buffered *fasthttp.HostClient
-	streamed *fasthttp.HostClient
+	mu   sync.Mutex
+	idle []*link // idle is a stack: the connection used last is used first.
+	open int
 }
 
-// Do sends the request once and reads the whole answer before deadline.
-func (f *Forwarder) Do(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) error {
-	f.once.Do(f.init)
-	if !time.Now().Before(deadline) {
-		return errPassed
-	}
-	return classify(f.buffered.DoDeadline(req, resp, deadline))
+var dialsTotal = metrics.NewCounter("hornbeam_dials_total")
+
+// Do sends the request once and reads the whole answer before deadline. The
+// end of ctx cancels the request by closing its connection.
+func (f *Forwarder) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) error {
+	return f.run(ctx, &call{req: req, resp: resp}, deadline)
 }
 
 // Stream sends the request once and lets resp read the answer's body while it
 // is passed on. A body that sends nothing for StallTimeout is cut. done is
 // called once: when the body was passed on, or at once on an error.
-func (f *Forwarder) Stream(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, done func()) error {
-	f.once.Do(f.init)
-	if !time.Now().Before(deadline) {
-		done()
-		return errPassed
-	}
+func (f *Forwarder) Stream(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, done func()) error {
 	inner := fasthttp.AcquireResponse()
-	if err := f.streamed.Do(req, inner); err != nil {
-		fasthttp.ReleaseResponse(inner)
+	c := &call{req: req, resp: inner, stream: true, passed: make(chan struct{})}
+	if err := f.run(ctx, c, deadline); err != nil {
 		done()
-		return classify(err)
+		return err
 	}
 	inner.Header.CopyTo(&resp.Header)
-	resp.SetBodyStream(&streamBody{inner: inner, done: done}, inner.Header.ContentLength())
+	stop := context.AfterFunc(ctx, c.link.close)
+	resp.SetBodyStream(&streamBody{call: c, done: func() { stop(); done() }}, inner.Header.ContentLength())
 	return nil
 }
 
-var errPassed = &Error{"do", KindExpired, errors.New("the deadline has passed")}
-
-// streamBody reads the body of inner. It implements
-// fasthttp.ReadCloserWithError, so that a connection whose body was not read
-// to its end is closed and not used again.
-type streamBody struct {
-	inner *fasthttp.Response
-	done  func()
-	err   error
+// run makes the attempt.
+func (f *Forwarder) run(ctx context.Context, c *call, deadline time.Time) error {
+	if !time.Now().Before(deadline) {
+		return &Error{"do", KindExpired, errors.New("the deadline has passed")}
+	}
+	if ctx.Err() != nil {
+		return &Error{"do", KindAbandoned, ctx.Err()}
+	}
+	for {
+		err := f.attempt(ctx, c, deadline)
+		if !errors.Is(err, errNotSent) {
+			return err
+		}
+		// The peer had closed an idle connection; nothing was sent on it.
+	}
 }
 
-// Read implements io.Reader.
-func (b *streamBody) Read(p []byte) (int, error) {
-	n, err := b.inner.BodyStream().Read(p)
-	if err != nil && err != io.EOF {
-		b.err = err
+// attempt puts the call on one connection and waits for its end.
+func (f *Forwarder) attempt(ctx context.Context, c *call, deadline time.Time) error {
+	c.done = make(chan error, 1)
+	l, err := f.take(ctx, c, deadline)
+	if err != nil {
+		return err
+	}
+	c.link = l
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	if len(c.req.Body()) <= smallBody {
+		l.send(c, deadline)
+	} else {
+		go l.send(c, deadline) // The answer may come before the body is out.
 	}
-	return n, err
+	select {
+	case err = <-c.done:
+		return classify(err)
+	case <-timer.C:
+		err = &Error{"do", KindTimeout, errors.New("no whole answer before the deadline")}
+	case <-ctx.Done():
+		err = &Error{"do", KindCancelled, ctx.Err()}
+	}
+	l.close()
+	// The reader may still be filling in the answer.
+	if <-c.done == nil && c.stream {
+		close(c.passed)
+	}
+	return err
 }
 
-// Close does nothing: CloseWithError follows.
-func (b *streamBody) Close() error { return nil }
+// errNotSent means that a connection ended before the request was written.
+var errNotSent = errors.New("the connection ended before the request was sent")
 
-// CloseWithError ends the answer and its connection.
-func (b *streamBody) CloseWithError(err error) error {
-	if b.inner == nil {
-		return nil
+// take returns a connection that carries nothing else, with the call on it.
+func (f *Forwarder) take(ctx context.Context, c *call, deadline time.Time) (*link, error) {
+	for {
+		f.mu.Lock()
+		n := len(f.idle)
+		if n == 0 {
+			break
+		}
+		l := f.idle[n-1]
+		f.idle = f.idle[:n-1]
+		f.mu.Unlock()
+		if l.begin(c) {
+			return l, nil
+		}
+		l.close()
 	}
-	if b.err != nil {
-		err = b.err
+	if f.Connections > 0 && f.open >= f.Connections {
+		f.mu.Unlock()
+		return nil, &Error{"do", KindNoConn, errors.Errorf("%d connections are in use", f.open)}
 	}
-	body, ok := b.inner.BodyStream().(fasthttp.ReadCloserWithError)
-	if ok {
-		_ = body.CloseWithError(err)
+	f.open++
+	f.mu.Unlock()
+	conn, err := dial(ctx, f.Address, deadline)
+	if err != nil {
+		f.count(-1)
+		return nil, &Error{"dial", KindDial, err}
 	}
-	b.inner = nil
-	b.done()
-	return nil
+	l := newLink(f, conn)
+	l.begin(c)
+	go l.read()
+	return l, nil
 }
 
-func (f *Forwarder) init() {
-	f.buffered = f.client(false)
-	f.streamed = f.client(true)
+func (f *Forwarder) count(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.open += n
 }
 
-func (f *Forwarder) client(stream bool) *fasthttp.HostClient {
-	return &fasthttp.HostClient{
-		Addr:                      f.Address,
-		Dial:                      func(addr string) (net.Conn, error) { return dial(addr, stream) },
-		MaxConns:                  max(f.Connections, 1),
-		MaxIdleConnDuration:       idleTimeout,
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		MaxResponseBodySize:       maxBody(stream),
-		ReadBufferSize:            bufferBytes,
-		WriteBufferSize:           bufferBytes,
-		WriteTimeout:              StallTimeout,
-		StreamResponseBody:        stream,
-		NoDefaultUserAgentHeader:  true,
-		SecureErrorLogMessage:     true,
-	}
+// put returns a connection whose answer has been read whole.
+func (f *Forwarder) put(l *link) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.idle = append(f.idle, l)
 }
 
-func maxBody(stream bool) int {
-	if stream {
-		return 0
+// forget drops a connection that was closed.
+func (f *Forwarder) forget(l *link) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.open--
+	for i, o := range f.idle {
+		if o == l {
+			f.idle = append(f.idle[:i], f.idle[i+1:]...)
+			return
+		}
 	}
-	return MaxAnswer
 }
 
 // Close closes the connections that are idle; busy ones close after use.
 func (f *Forwarder) Close() {
-	f.once.Do(f.init)
-	f.buffered.CloseIdleConnections()
-	f.streamed.CloseIdleConnections()
+	f.mu.Lock()
+	list := f.idle
+	f.idle = nil
+	f.mu.Unlock()
+	for _, l := range list {
+		l.close()
+	}
 }
 
-func dial(addr string, stream bool) (net.Conn, error) {
-	conn, err := net.DialTimeout("tcp", addr, dialTimeout)
-	if err != nil {
-		return nil, &Error{"dial", KindDial, err}
+func dial(ctx context.Context, address string, deadline time.Time) (net.Conn, error) {
+	dialsTotal.Inc()
+	d := net.Dialer{
+		Timeout: min(dialTimeout, time.Until(deadline)),
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
+		},
+		Control: func(_, _ string, rc syscall.RawConn) error {
+			var err error
+			controlErr := rc.Control(func(fd uintptr) {
+				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+			})
+			return errors.WithMessage(firstOf(controlErr, err), "set TCP_USER_TIMEOUT")
+		},
 	}
-	if stream {
-		return &stallConn{conn}, nil
-	}
-	return conn, nil
+	return d.DialContext(ctx, "tcp", address)
 }
 
-// stallConn gives each read a deadline of its own.
-type stallConn struct{ net.Conn }
-
-// Read implements net.Conn.
-func (c *stallConn) Read(p []byte) (int, error) {
-	if err := c.SetReadDeadline(time.Now().Add(StallTimeout)); err != nil {
-		return 0, err
+func firstOf(a, b error) error {
+	if a != nil {
+		return a
 	}
-	return c.Conn.Read(p)
+	return b
 }
 
+// classify gives an error of a connection its kind.
 func classify(err error) error {
 	var own *Error
 	switch {
-	case err == nil:
-		return nil
+	case err == nil, errors.Is(err, errNotSent):
+		return err
 	case errors.As(err, &own):
 		return own
-	case errors.Is(err, fasthttp.ErrNoFreeConns):
-		return &Error{"do", KindNoConn, err}
-	case errors.Is(err, fasthttp.ErrTimeout):
-		return &Error{"do", KindTimeout, err}
 	}
 	return &Error{"do", KindBroken, err}
 }
--- a/request/limiter/limiter.go
+++ b/request/limiter/limiter.go
@@ -9,11 +9,12 @@
 // # Usage
 //
 //	l := &limiter.Limiter{Slots: 10, Queue: 20}
-//	if err := l.Acquire(deadline, rank); err != nil { /* not run */ }
+//	if err := l.Acquire(ctx, deadline, rank); err != nil { /* not run */ }
 //	defer l.Release()
 package limiter
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"sync"
@@ -31,6 +32,7 @@
 	KindShed     Kind = "shed"
 	KindDeadline Kind = "deadline"
 	KindClosed   Kind = "closed"
+	KindHungUp   Kind = "hungUp" // KindHungUp means that nobody waits for the answer any more.
 )
 
 // Error is the only error type of this package.
@@ -69,9 +71,9 @@
 	closed  bool
 }
 
-// Acquire takes a slot, waiting until the deadline at most. A higher rank goes
-// first. An error means that the request did not run.
-func (l *Limiter) Acquire(deadline time.Time, rank int) error {
+// Acquire takes a slot, waiting until the deadline or the end of ctx at most. A
+// higher rank goes first. An error means that the request did not run.
+func (l *Limiter) Acquire(ctx context.Context, deadline time.Time, rank int) error {
 	w, err := l.enter(rank)
 	if w == nil {
 		return err
@@ -82,7 +84,9 @@
 	case err := <-w.ready:
 		return err
 	case <-timer.C:
-		return l.abandon(w)
+		return l.abandon(w, &Error{"acquire", KindDeadline, errors.New("no slot became free in time")})
+	case <-ctx.Done():
+		return l.abandon(w, &Error{"acquire", KindHungUp, ctx.Err()})
 	}
 }
 
@@ -121,7 +125,7 @@
 }
 
 // abandon leaves the queue; a slot that was given in the meantime is kept.
-func (l *Limiter) abandon(w *waiter) error {
+func (l *Limiter) abandon(w *waiter, why error) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	i := slices.Index(l.waiting, w)
@@ -129,7 +133,7 @@
 		return <-w.ready
 	}
 	l.waiting = slices.Delete(l.waiting, i, i+1)
-	return &Error{"acquire", KindDeadline, errors.New("no slot became free in time")}
+	return why
 }
 
 // Release gives a slot back and passes it to the first waiter.
@@ -156,6 +160,13 @@
 	l.waiting = nil
 }
 
+// Busy returns the number of requests that run or wait.
+func (l *Limiter) Busy() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.used + len(l.waiting)
+}
+
 // Used returns the number of slots in use.
 func (l *Limiter) Used() int {
 	l.mu.Lock()
--- /dev/null
+++ b/request/receiver/attempt.go
@@ -0,0 +1,238 @@
+package receiver
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/hornbeamrack/hornbeamrack/connection/acceptor"
+	"github.com/hornbeamrack/hornbeamrack/request/checker"
+	"github.com/hornbeamrack/hornbeamrack/request/executor"
+	"github.com/hornbeamrack/hornbeamrack/request/forwarder"
+	"github.com/hornbeamrack/hornbeamrack/request/router"
+	"github.com/hornbeamrack/hornbeamrack/request/translator"
+	"github.com/hornbeamrack/hornbeamrack/version/applier"
+	"github.com/hornbeamrack/hornbeamrack/version/compiler"
+	"github.com/hornbeamrack/hornbeamrack/version/decider"
+)
+
+const (
+	// minRetryTime is the time that a further attempt needs to make sense.
+	minRetryTime = 5 * time.Millisecond
+	// maxOffers bounds the owners that one request is offered to.
+	maxOffers = 6
+	// leastWait lets a slot that is just being freed be waited for.
+	leastWait = 20 * time.Millisecond
+	// lateShare is the part of a route's timeout that a request may wait for a
+	// slot once its aim is lost.
+	lateShare = 0.5
+	// retryPause and retrySpread say when callers of refused requests may come back.
+	retryPause    = 250 * time.Millisecond
+	retrySpread   = 250 * time.Millisecond
+	notReadyPause = 500 * time.Millisecond
+)
+
+// attempt is the state of one request while endpoints are tried.
+type attempt struct {
+	x        *acceptor.Exchange
+	route    *compiler.Route
+	service  *compiler.Service
+	caller   translator.Caller
+	deadline time.Time // deadline is when the caller gets its final answer.
+	aim      time.Time // aim is when an answer loses most of its worth.
+	unsafe   bool
+	keyed    bool
+	version  string
+	tried    []applier.EndpointKey
+	arrivals int  // arrivals counts what may have reached targets.
+	mayRan   bool // mayRan means that an earlier endpoint may have run the request.
+}
+
+func (v *Receiver) newAttempt(x *acceptor.Exchange, table *compiler.Table, route *compiler.Route, caller translator.Caller) *attempt {
+	h := &x.Request.Header
+	key := string(h.Peek(checker.HeaderIdempotencyKey))
+	a := &attempt{x: x, route: route, service: v.Board.Part(route), caller: caller, keyed: key != ""}
+	a.deadline = x.ReceivedAt.Add(route.Timeout.Duration())
+	if !caller.Deadline.IsZero() && caller.Deadline.Before(a.deadline) {
+		a.deadline = caller.Deadline
+	}
+	a.aim = x.ReceivedAt.Add(route.AimTime())
+	a.unsafe = route.NonIdempotent || (!route.Idempotent && (h.IsPost() || string(h.Method()) == fasthttp.MethodPatch))
+	if key == "" {
+		key = string(h.Peek(checker.HeaderKey))
+	}
+	a.version = router.VersionFor(a.service.Traffic, key, a.unsafe, v.Brakes.Braked)
+	if a.service.Pool(a.version).Empty() {
+		a.version = a.service.Traffic.Serving
+	}
+	v.Budget.Earn(a.service.Name, table.Nodes)
+	return a
+}
+
+// try offers the request to endpoints until one answers or nothing more may be
+// tried.
+func (v *Receiver) try(a *attempt) translator.Report {
+	if a.unsafe && !a.awaitTurn() {
+		return v.end(a, translator.NotRun(translator.ReasonHungUp), "the connection ended before the request's turn")
+	}
+	report, detail := translator.NotRun(translator.ReasonNoTarget), "no target runs this service"
+	for n := 0; n < maxOffers; n++ {
+		c, ok := v.Board.Pick(router.Query{Service: a.service, Version: a.version, Tried: a.tried, Bulk: a.route.Bulk || a.route.Stream})
+		if !ok {
+			break
+		}
+		a.tried = append(a.tried, c.EndpointKey)
+		report, detail = v.send(a, c)
+		if a.settled(report) {
+			return v.end(a, report, detail)
+		}
+		if reached(report) {
+			a.arrivals++
+			a.mayRan = a.mayRan || report.Outcome != forwarder.OutcomeNotRun
+			if a.arrivals > a.route.Retries || !v.Budget.Spend(a.service.Name) {
+				break
+			}
+			retriesTotal.Inc()
+		}
+		v.logRetry(a, c, report, detail)
+	}
+	return v.end(a, report, detail)
+}
+
+// awaitTurn waits until every earlier answer on the connection is written. It
+// is false when the caller hung up.
+func (a *attempt) awaitTurn() bool {
+	select {
+	case <-a.x.Turn():
+		return true
+	case <-a.x.Context().Done():
+		return false
+	}
+}
+
+// reached reports whether a request may have arrived at a target.
+func reached(r translator.Report) bool {
+	return r.Outcome != forwarder.OutcomeNotRun || r.Reason == translator.ReasonShed
+}
+
+// settled reports whether a report is final. What did not run may be tried
+// elsewhere, whatever the method; what may have run only if running twice does
+// no harm, or if the claim on its key lets only one attempt run.
+func (a *attempt) settled(r translator.Report) bool {
+	if time.Until(a.deadline) < minRetryTime || a.x.Context().Err() != nil {
+		return true
+	}
+	switch r.Outcome {
+	case forwarder.OutcomeRan:
+		return a.unsafe || r.Replayed || !a.failed()
+	case forwarder.OutcomeNotRun:
+		return r.Reason == translator.ReasonMismatch || r.Reason == translator.ReasonClaim || r.Reason == translator.ReasonHungUp
+	}
+	if r.Reason == translator.ReasonCrash {
+		return true // It may be the request that crashes its targets.
+	}
+	return a.unsafe && (!a.keyed || r.Reason == translator.ReasonHeld)
+}
+
+// failed reports whether the target answered that it failed.
+func (a *attempt) failed() bool {
+	return a.x.Response.StatusCode() >= fasthttp.StatusInternalServerError
+}
+
+// waitTill returns until when the request may wait for a slot of an endpoint.
+func (a *attempt) waitTill(c router.Choice, now time.Time) time.Time {
+	till := a.aim.Add(-c.Usual)
+	if late := a.x.ReceivedAt.Add(time.Duration(lateShare * float64(a.route.Timeout))); late.After(till) {
+		till = late
+	}
+	if least := now.Add(leastWait); least.After(till) {
+		till = least
+	}
+	if till.After(a.deadline) {
+		return a.deadline
+	}
+	return till
+}
+
+// send offers the request to one endpoint.
+func (v *Receiver) send(a *attempt, c router.Choice) (translator.Report, string) {
+	now := time.Now()
+	o := executor.Order{
+		RequestID: a.caller.RequestID, Attempt: v.requestID(), Target: c.Target, Route: a.route.Host + a.route.Path, Unsafe: a.unsafe, Stream: a.route.Stream,
+		Rank: a.route.Rank(), Origin: v.originService(), Deadline: a.deadline, WaitTill: a.waitTill(c, now),
+	}
+	done := v.Board.Begin(c.EndpointKey)
+	a.x.Response.Reset()
+	var report translator.Report
+	detail := ""
+	if c.Node == v.Node {
+		report = v.Owner.Execute(a.x.Context(), &a.x.Request, &a.x.Response, o, done)
+	} else {
+		report, detail = v.sendPeer(a, c, o, done)
+	}
+	v.learn(a, c, report, time.Since(now))
+	return report, detail
+}
+
+// learn takes in what an offer showed of its endpoint.
+func (v *Receiver) learn(a *attempt, c router.Choice, r translator.Report, took time.Duration) {
+	v.Board.Said(c.EndpointKey, r.Load)
+	switch {
+	case r.Outcome == forwarder.OutcomeRan && !a.failed():
+		v.Board.Answered(c.EndpointKey, max(took-r.Load.Wait, time.Millisecond))
+	case r.Reason != translator.ReasonHungUp && r.Reason != translator.ReasonLimit:
+		v.Board.Penalise(c.EndpointKey)
+	}
+	m := a.service.Traffic.Move
+	if m == nil || !m.Running() || r.Outcome == forwarder.OutcomeNotRun || r.Replayed || r.Reason == translator.ReasonHeld || r.Reason == translator.ReasonHungUp {
+		return
+	}
+	evidence := decider.Evidence{MoveID: m.ID, New: c.Version == m.To, Route: a.route.Path, Unsafe: a.unsafe}
+	evidence.Add(r.Outcome == forwarder.OutcomeUnknown || a.failed(), true, 0)
+	v.Brakes.Judge(evidence)
+}
+
+// sendPeer asks another node to carry out the order.
+func (v *Receiver) sendPeer(a *attempt, c router.Choice, o executor.Order, done func()) (translator.Report, string) {
+	req, resp := &a.x.Request, &a.x.Response
+	req.Header.Set(checker.HeaderOrder, o.Encode(time.Now()))
+	defer req.Header.Del(checker.HeaderOrder)
+	var err error
+	if o.Stream && !o.Unsafe {
+		err = v.peer(c.Address).Stream(a.x.Context(), req, resp, o.Deadline.Add(ownerGrace), done)
+	} else {
+		err = v.peer(c.Address).Do(a.x.Context(), req, resp, o.Deadline.Add(ownerGrace))
+		done()
+	}
+	if err != nil {
+		resp.Reset()
+		return translator.Report{Outcome: forwarder.OutcomeOf(err), Reason: executor.ReasonOf(err)}, err.Error()
+	}
+	if string(resp.Header.Peek(checker.HeaderAttempt)) != o.Attempt {
+		return translator.Unknown(translator.ReasonCrossed), "the answer names another request"
+	}
+	resp.Header.Del(fasthttp.HeaderConnection)
+	return executor.ReadReport(&resp.Header), ""
+}
+
+// end writes the final answer.
+func (v *Receiver) end(a *attempt, r translator.Report, detail string) translator.Report {
+	if r.Outcome == forwarder.OutcomeRan {
+		v.logAnswer(a, r)
+		return r
+	}
+	if a.mayRan && r.Outcome == forwarder.OutcomeNotRun {
+		// The last endpoint did not run it, but an earlier one may have.
+		r = translator.Unknown(r.Reason)
+	}
+	if detail == "" {
+		detail = string(a.x.Response.Body())
+	}
+	retryAt := time.Now().Add(retryPause + time.Duration(rand.Int64N(int64(retrySpread))))
+	if r.Load.Wait > 0 {
+		retryAt = retryAt.Add(r.Load.Wait)
+	}
+	v.logRefusal(a, r, detail)
+	return v.refuse(a.x, r, detail, retryAt)
+}
--- /dev/null
+++ b/request/receiver/log.go
@@ -0,0 +1,53 @@
+package receiver
+
+import (
+	"time"
+
+	"github.com/hornbeamrack/hornbeamrack/request/router"
+	"github.com/hornbeamrack/hornbeamrack/request/translator"
+)
+
+// The kinds of lines; each has its own bound.
+const (
+	lineAnswered = "request answered"
+	lineRefused  = "request refused"
+	lineRetried  = "request offered elsewhere"
+)
+
+// fields returns what every line on a request holds.
+func (v *Receiver) fields(a *attempt) []any {
+	version := uint64(0)
+	if t := v.Tables.Table(); t != nil {
+		version = t.Version
+	}
+	return []any{"id", a.caller.RequestID, "route", a.route.Host + a.route.Path, "service", a.service.Name, "targetVersion", a.version,
+		"configVersion", version, "ageMs", time.Since(a.x.ReceivedAt).Milliseconds(), "leftMs", time.Until(a.deadline).Milliseconds(), "offers", len(a.tried)}
+}
+
+func (v *Receiver) logAnswer(a *attempt, r translator.Report) {
+	if v.Journal.Sampled(lineAnswered) {
+		last := a.tried[len(a.tried)-1]
+		v.Journal.Info(lineAnswered, append(v.fields(a), "target", last.String(), "status", a.x.Response.StatusCode(), "busy", r.Load.Busy)...)
+	}
+}
+
+func (v *Receiver) logRefusal(a *attempt, r translator.Report, detail string) {
+	if v.Journal.Allowed(lineRefused) {
+		v.Journal.Warn(lineRefused, append(v.fields(a), "tried", keys(a), "outcome", r.Outcome, "reason", r.Reason, "detail", detail, "targetWaitMs", r.Load.Wait.Milliseconds())...)
+	}
+}
+
+func (v *Receiver) logRetry(a *attempt, c router.Choice, r translator.Report, detail string) {
+	if v.Journal.Allowed(lineRetried) {
+		v.Journal.Info(lineRetried, append(v.fields(a), "target", c.EndpointKey.String(), "outcome", r.Outcome, "reason", r.Reason, "detail", detail,
+			"expectedWaitMs", c.Wait.Milliseconds(), "usualMs", c.Usual.Milliseconds())...)
+	}
+}
+
+func keys(a *attempt) string {
+	out := ""
+	for _, k := range a.tried {
+		out += k.String() + " "
+	}
+	return out
+}
--- a/request/receiver/receiver_test.go
+++ b/request/receiver/receiver_test.go
@@ -11,12 +11,14 @@
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
+	"github.com/hornbeamrack/hornbeamrack/connection/acceptor"
 	"github.com/hornbeamrack/hornbeamrack/connection/registrar"
 	"github.com/hornbeamrack/hornbeamrack/process/tracer"
 	"github.com/hornbeamrack/hornbeamrack/request/claimer"
 	"github.com/hornbeamrack/hornbeamrack/request/executor"
 	"github.com/hornbeamrack/hornbeamrack/request/observer"
 	"github.com/hornbeamrack/hornbeamrack/request/quarantiner"
+	"github.com/hornbeamrack/hornbeamrack/request/translator"
 	"github.com/hornbeamrack/hornbeamrack/version/applier"
 	"github.com/hornbeamrack/hornbeamrack/version/compiler"
 	"github.com/hornbeamrack/hornbeamrack/version/differ"
@@ -73,7 +75,6 @@
 	keeper   compiler.Keeper
 	entry    string
 	peer     string
-	servers  []*fasthttp.Server
 }
 
 // noReports loses every report of a crash.
@@ -82,6 +83,23 @@
 // ReportCrash implements quarantiner.ReportProvider.
 func (noReports) ReportCrash(context.Context, string, uint64) error { return nil }
 
+// serve lets a node listen.
+func serve(tb testing.TB, handler func(x *acceptor.Exchange)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	s := &acceptor.Server{Handler: handler}
+	go func() { _ = s.Serve(l) }()
+	tb.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = s.Shutdown(ctx)
+		_ = l.Close()
+	})
+	return l.Addr().String()
+}
+
 func listen(tb testing.TB, handler fasthttp.RequestHandler) (string, *fasthttp.Server) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -101,13 +119,10 @@
 	n := &node{name: name, targets: &registrar.Registrar{}}
 	o := &observer.Observer{Tables: &n.keeper}
 	q := &quarantiner.Quarantiner{Tables: &n.keeper, Reports: noReports{}}
-	n.executor = &executor.Executor{Targets: n.targets, Claims: provider, Observer: o, Crashes: q, Tracer: trace}
-	n.receiver = &Receiver{Node: name, Tables: &n.keeper, Owner: n.executor, Tracer: trace, Brakes: o, Poison: q}
-	var s *fasthttp.Server
-	n.entry, s = listen(tb, n.receiver.Handle)
-	n.servers = append(n.servers, s)
-	n.peer, s = listen(tb, n.executor.Handle)
-	n.servers = append(n.servers, s)
+	n.executor = &executor.Executor{Targets: n.targets, Claims: provider, Observer: o, Crashes: q, Tracer: trace, Translator: translator.Own{}}
+	n.receiver = &Receiver{Node: name, Tables: &n.keeper, Owner: n.executor, Tracer: trace, Translator: translator.Own{}, Brakes: o, Poison: q}
+	n.entry = serve(tb, n.receiver.Handle)
+	n.peer = serve(tb, n.executor.Handle)
 	return n
 }
 
--- a/request/router/router.go
+++ b/request/router/router.go
@@ -1,22 +1,29 @@
-// Package router picks the endpoint for a request.
+// Package router picks the service, the target version and the endpoint for a
+// request.
 //
-// The target version comes first: a request's key is hashed, so a request that
-// is sent again stays on its side of a move. Within the version, endpoints in
-// the node's own data centre go first; others take over when none of the near
-// ones is usable. Among usable endpoints the less loaded of two random ones is
-// taken, by this node's own count of requests in flight, never by a health or
-// load endpoint.
+// Load patterns: targets of one service differ in speed by a factor of three,
+// slow down, or start cold; a burst brings more requests than there are slots.
+// So an endpoint is picked by when it is expected to answer, from what this
+// node saw of its speed and what its owner said of its queue, and not by a
+// count. Endpoints in other data centres are taken when the near ones would
+// answer later by more than the way costs.
+//
+// Within a move, a request's key is hashed, so a request that is sent again
+// stays on its side of the move. The parts of a split take turns by their
+// weights.
 //
 // # Usage
 //
 //	b := &router.Board{}
-//	version := router.VersionFor(service.Traffic, key, nonIdempotent, braked)
-//	endpoint, ok := b.Pick(service, version, tried)
+//	part := b.Part(route)
+//	version := router.VersionFor(part.Traffic, key, nonIdempotent, braked)
+//	endpoint, ok := b.Pick(router.Query{Service: part, Version: version, Tried: tried})
 //	done := b.Begin(endpoint.EndpointKey)
 //	defer done()
 package router
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -24,6 +31,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/hornbeamrack/hornbeamrack/request/translator"
 	"github.com/hornbeamrack/hornbeamrack/version/applier"
 	"github.com/hornbeamrack/hornbeamrack/version/compiler"
 )
@@ -33,6 +41,20 @@
 	PenaltyTime = time.Second
 
 	maxIdleEntries = 4096
+	// farCost is what a way to another data centre adds, there and back.
+	farCost = 4 * time.Millisecond
+	// farBulkCost stands for the price of carrying a large answer between data centres.
+	farBulkCost = 60 * time.Millisecond
+	// firstUsual is assumed of a target while nothing is known of any.
+	firstUsual = 100 * time.Millisecond
+	// usualWeight is the number of answers that the usual latency looks back on.
+	usualWeight = 8
+	// wordLife is how long an owner's word on its load keeps most of its weight.
+	wordLife = 400 * time.Millisecond
+	// tie spreads nodes over endpoints that are about equally good.
+	tie = 0.1
+	// goldenRatio steps through the unit interval as evenly as can be.
+	goldenRatio = 0.6180339887498949
 )
 
 // VersionFor returns the target version that serves a request with this key.
@@ -59,7 +81,10 @@
 // load is what this node knows of one endpoint.
 type load struct {
 	inFlight     int
-	penalisedTil time.Time // penalisedTil is the deadline before which the endpoint is avoided.
+	usual        time.Duration // usual is the moving average of latencies, 0 while unknown.
+	others       float64       // others is the number of requests there that this node did not send.
+	saidAt       time.Time     // saidAt is when the owner said so.
+	penalisedTil time.Time     // penalisedTil is the deadline before which the endpoint is avoided.
 }
 
 // Board is the node's shared table of endpoint loads. It is safe for
@@ -67,70 +92,125 @@
 type Board struct {
 	mu    sync.Mutex
 	loads map[applier.EndpointKey]*load
+	turns map[string]float64
+}
+
+// Query asks for an endpoint.
+type Query struct {
+	Service *compiler.Service
+	Version string
+	Tried   []applier.EndpointKey
+	Bulk    bool // Bulk means that the answer is large.
+}
+
+// Part returns the service whose turn it is among the parts of a route.
+func (b *Board) Part(r *compiler.Route) *compiler.Service {
+	if len(r.Parts) == 1 {
+		return r.Target
+	}
+	b.mu.Lock()
+	if b.turns == nil || len(b.turns) > maxIdleEntries {
+		b.turns = map[string]float64{}
+	}
+	key := r.Host + "\x00" + r.Path
+	turn, ok := b.turns[key]
+	if !ok {
+		turn = rand.Float64()
+	}
+	_, turn = math.Modf(turn + goldenRatio)
+	b.turns[key] = turn
+	b.mu.Unlock()
+	at := turn * float64(r.Weight)
+	for _, p := range r.Parts {
+		if at < float64(p.Weight) {
+			return p.Target
+		}
+		at -= float64(p.Weight)
+	}
+	return r.Target
+}
+
+// Choice is an endpoint with when it is expected to answer.
+type Choice struct {
+	applier.Endpoint
+	Usual time.Duration // Usual is how long the target works on a request.
+	Wait  time.Duration // Wait is how long a slot is expected to take to come free.
 }
 
-// Pick returns an endpoint of the version that is not in tried. ok is false
-// when there is none.
-func (b *Board) Pick(s *compiler.Service, version string, tried []applier.EndpointKey) (applier.Endpoint, bool) {
-	p := s.Pool(version)
+// Pick returns the endpoint of the version that is expected to answer first
+// and is not in tried. ok is false when there is none.
+func (b *Board) Pick(q Query) (Choice, bool) {
+	p := q.Service.Pool(q.Version)
 	if p.Empty() {
-		return applier.Endpoint{}, false
+		return Choice{}, false
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	for _, list := range [][]applier.Endpoint{p.Near, p.Far} {
-		if e, ok := b.pickFrom(list, tried, now); ok {
-			return e, true
-		}
+	usual := b.usualOf(p)
+	far := farCost
+	if q.Bulk {
+		far = farBulkCost
 	}
-	// All are penalised: one of them may have recovered.
-	for _, list := range [][]applier.Endpoint{p.Near, p.Far} {
-		if e, ok := b.pickFrom(list, tried, time.Time{}); ok {
-			return e, true
+	best, bestCost, found := Choice{}, math.Inf(1), false
+	consider := func(list []applier.Endpoint, extra time.Duration) {
+		for _, e := range list {
+			if slices.Contains(q.Tried, e.EndpointKey) {
+				continue
+			}
+			c, cost := b.estimate(e, usual, now)
+			cost = (cost + extra.Seconds()) * (1 + tie*rand.Float64())
+			if cost < bestCost {
+				best, bestCost, found = c, cost, true
+			}
 		}
 	}
-	return applier.Endpoint{}, false
+	consider(p.Near, 0)
+	consider(p.Far, far)
+	return best, found
 }
 
-// pickFrom takes the less loaded of two random usable endpoints. A zero now
-// ignores penalties.
-func (b *Board) pickFrom(list []applier.Endpoint, tried []applier.EndpointKey, now time.Time) (applier.Endpoint, bool) {
-	usable := func(e applier.Endpoint) bool {
-		l := b.loads[e.EndpointKey]
-		penalised := l != nil && !now.IsZero() && now.Before(l.penalisedTil)
-		return !penalised && !slices.Contains(tried, e.EndpointKey)
-	}
-	candidates := make([]int, 0, 2)
-	start := rand.IntN(len(list) + 1)
-	for i := range list {
-		j := (start + i) % len(list)
-		if !usable(list[j]) {
-			continue
-		}
-		candidates = append(candidates, j)
-		if len(candidates) == 2 {
-			break
+// usualOf returns the mean latency of the pool, for endpoints that nothing is
+// known of yet.
+func (b *Board) usualOf(p *compiler.Pool) time.Duration {
+	sum, n := time.Duration(0), 0
+	for _, list := range [2][]applier.Endpoint{p.Near, p.Far} {
+		for _, e := range list {
+			if l := b.loads[e.EndpointKey]; l != nil && l.usual > 0 {
+				sum += l.usual
+				n++
+			}
 		}
 	}
-	switch len(candidates) {
-	case 0:
-		return applier.Endpoint{}, false
-	case 2:
-		if b.relative(list[candidates[1]]) < b.relative(list[candidates[0]]) {
-			return list[candidates[1]], true
-		}
+	if n == 0 {
+		return firstUsual
 	}
-	return list[candidates[0]], true
+	return sum / time.Duration(n)
 }
 
-// relative returns the requests in flight per slot.
-func (b *Board) relative(e applier.Endpoint) float64 {
+// estimate returns when an endpoint is expected to answer, in seconds.
+func (b *Board) estimate(e applier.Endpoint, usual time.Duration, now time.Time) (Choice, float64) {
 	l := b.loads[e.EndpointKey]
+	c := Choice{Endpoint: e, Usual: usual}
 	if l == nil {
-		return 0
+		return c, usual.Seconds()
 	}
-	return float64(l.inFlight) / float64(max(e.Slots, 1))
+	if l.usual > 0 {
+		c.Usual = l.usual
+	}
+	busy := float64(l.inFlight) + l.others*math.Exp(-float64(now.Sub(l.saidAt))/float64(wordLife))
+	slots := float64(max(e.Slots, 1))
+	if ahead := busy + 1 - slots; ahead > 0 {
+		c.Wait = time.Duration(ahead / slots * float64(c.Usual))
+	}
+	cost := (c.Usual + c.Wait).Seconds()
+	// A target with idle slots answers as fast as one with few, but leaves room
+	// for what other nodes send meanwhile.
+	cost *= 1 + 0.2*min(busy/slots, 1)
+	if now.Before(l.penalisedTil) {
+		cost += PenaltyTime.Seconds()
+	}
+	return c, cost
 }
 
 // Begin counts a request in flight; the returned function ends it.
@@ -146,6 +226,31 @@
 	}
 }
 
+// Said takes in what an owner said of its load. It counts this node's own
+// requests too.
+func (b *Board) Said(k applier.EndpointKey, w translator.Load) {
+	if !w.Known {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.entry(k)
+	l.others = max(0, float64(w.Busy-l.inFlight))
+	l.saidAt = time.Now()
+}
+
+// Answered takes in how long an endpoint took.
+func (b *Board) Answered(k applier.EndpointKey, latency time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.entry(k)
+	if l.usual == 0 {
+		l.usual = latency
+		return
+	}
+	l.usual += (latency - l.usual) / usualWeight
+}
+
 // Penalise avoids an endpoint for a while.
 func (b *Board) Penalise(k applier.EndpointKey) {
 	b.mu.Lock()
--- /dev/null
+++ b/request/translator/own.go
@@ -0,0 +1,73 @@
+package translator
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/hornbeamrack/hornbeamrack/common/asserter"
+	"github.com/hornbeamrack/hornbeamrack/request/checker"
+	"github.com/hornbeamrack/hornbeamrack/request/forwarder"
+)
+
+// Own speaks the project's own interface, whose headers checker names.
+type Own struct{}
+
+// ReadRequest implements Translator. Nodes make the ids of requests.
+func (Own) ReadRequest(h *fasthttp.RequestHeader, _ time.Time) (Caller, error) {
+	deadline, err := checker.Deadline(h)
+	return Caller{Deadline: deadline}, err
+}
+
+// WriteRequest implements Translator.
+func (Own) WriteRequest(h *fasthttp.RequestHeader, o HandOver) {
+	h.Set(checker.HeaderRequestID, o.RequestID)
+	h.Set(checker.HeaderDeadline, strconv.FormatInt(o.Deadline.UnixMilli(), 10))
+}
+
+// ReadAnswer implements Translator. Targets may leave out the echo.
+func (Own) ReadAnswer(resp *fasthttp.Response) Answer {
+	return Answer{RequestID: string(resp.Header.Peek(checker.HeaderRequestID)), Genuine: true}
+}
+
+// WriteRefusal implements Translator.
+func (Own) WriteRefusal(resp *fasthttp.Response, r Refusal) {
+	resp.Reset()
+	resp.SetStatusCode(statusOf(r.Report))
+	resp.Header.SetContentType("application/json")
+	resp.Header.Set(checker.HeaderOutcome, string(r.Outcome))
+	resp.Header.Set(checker.HeaderReason, string(r.Reason))
+	if !r.RetryAt.IsZero() && r.Outcome == forwarder.OutcomeNotRun {
+		resp.Header.Set(fasthttp.HeaderRetryAfter, strconv.Itoa(int(time.Until(r.RetryAt).Seconds())+1))
+	}
+	asserter.That(r.Outcome != "", "outcomeKnown", "%s", r.Detail)
+	resp.SetBodyString(fmt.Sprintf("{\"outcome\":%q,\"reason\":%q,\"detail\":%q}\n", r.Outcome, r.Reason, r.Detail))
+}
+
+// FinishAnswer implements Translator.
+func (Own) FinishAnswer(h *fasthttp.ResponseHeader, r Report) {
+	h.Set(checker.HeaderOutcome, string(r.Outcome))
+	h.Del(checker.HeaderLoad)
+	h.Del(checker.HeaderAttempt)
+}
+
+func statusOf(r Report) int {
+	switch r.Reason {
+	case ReasonBadRequest:
+		return fasthttp.StatusBadRequest
+	case ReasonNoRoute:
+		return fasthttp.StatusNotFound
+	case ReasonMismatch:
+		return fasthttp.StatusUnprocessableEntity
+	case ReasonHeld:
+		return fasthttp.StatusConflict
+	case ReasonDeadline:
+		return fasthttp.StatusGatewayTimeout
+	}
+	if r.Outcome == forwarder.OutcomeUnknown {
+		return fasthttp.StatusBadGateway
+	}
+	return fasthttp.StatusServiceUnavailable
+}
--- /dev/null
+++ b/request/translator/translator.go
@@ -0,0 +1,111 @@
+// Package translator turns what callers and targets say about a request into
+// typed values, and back.
+//
+// The words on the wire differ between interfaces: the project's own, which is
+// Own, and those of platforms, which live in adapters of their own. Receiver
+// and executor decide on the typed values alone.
+//
+// # Usage
+//
+//	var t translator.Translator = translator.Own{}
+//	caller, err := t.ReadRequest(&x.Request.Header, time.Now())
+//	t.WriteRequest(&x.Request.Header, translator.HandOver{RequestID: id, ...})
+//	answer := t.ReadAnswer(&x.Response)
+//	t.WriteRefusal(&x.Response, translator.Refusal{Report: report, Detail: why})
+package translator
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/hornbeamrack/hornbeamrack/request/forwarder"
+)
+
+// Reason says why a request has no answer of a target.
+type Reason string
+
+// The reasons that nodes give.
+const (
+	ReasonNone       Reason = ""
+	ReasonNoTarget   Reason = "noTarget"   // ReasonNoTarget means that the target left or is not known here.
+	ReasonLimit      Reason = "limit"      // ReasonLimit means that no slot became free.
+	ReasonShed       Reason = "shed"       // ReasonShed means that the target itself refused the request.
+	ReasonDeadline   Reason = "deadline"   // ReasonDeadline means that time ran out.
+	ReasonDial       Reason = "dial"       // ReasonDial means that no connection could be made.
+	ReasonClaim      Reason = "claim"      // ReasonClaim means that the key could not be claimed in time.
+	ReasonHeld       Reason = "held"       // ReasonHeld means that an earlier attempt may have run.
+	ReasonMismatch   Reason = "mismatch"   // ReasonMismatch means that the key belongs to another request.
+	ReasonBroken     Reason = "broken"     // ReasonBroken means that the answer was cut off.
+	ReasonCrossed    Reason = "crossed"    // ReasonCrossed means that the answer was to another request.
+	ReasonCrash      Reason = "crash"      // ReasonCrash means that the target died with the request in flight.
+	ReasonPoison     Reason = "poison"     // ReasonPoison means that the request has crashed too many targets.
+	ReasonNoRoute    Reason = "noRoute"    // ReasonNoRoute means that the configuration has no route.
+	ReasonNotReady   Reason = "notReady"   // ReasonNotReady means that the node has no confirmed configuration.
+	ReasonBadRequest Reason = "badRequest" // ReasonBadRequest means that the request is malformed.
+	ReasonHungUp     Reason = "hungUp"     // ReasonHungUp means that the caller went away.
+)
+
+// Load is what an owner node says of its target with each answer.
+type Load struct {
+	Known bool
+	Busy  int           // Busy is the number of requests that run or wait there.
+	Wait  time.Duration // Wait is how long a further request would wait for a slot.
+}
+
+// Report says how an order ended.
+type Report struct {
+	Outcome  forwarder.Outcome
+	Reason   Reason
+	Replayed bool // Replayed means that the answer is the stored one of an earlier attempt.
+	Load     Load
+}
+
+// NotRun reports a request that did not run.
+func NotRun(r Reason) Report { return Report{Outcome: forwarder.OutcomeNotRun, Reason: r} }
+
+// Unknown reports a request that may have run.
+func Unknown(r Reason) Report { return Report{Outcome: forwarder.OutcomeUnknown, Reason: r} }
+
+// Caller is what a caller says with a request.
+type Caller struct {
+	RequestID string    // RequestID is empty when the node is to make one.
+	Deadline  time.Time // Deadline is zero when the caller names none.
+}
+
+// HandOver is what a target is told with a request.
+type HandOver struct {
+	RequestID string
+	Target    string    // Target is the target that is meant.
+	Origin    string    // Origin is the service on the host where the request began.
+	Deadline  time.Time // Deadline is when the answer is no longer waited for.
+}
+
+// Answer is what a target's answer says beside its status and body.
+type Answer struct {
+	RequestID string // RequestID is the echoed id, empty without one.
+	NotRun    bool   // NotRun means that the target states that it did not run the request.
+	Genuine   bool   // Genuine means that the answer bears all signs of the target's own whole answer.
+}
+
+// Refusal is an answer of a node in place of a target's.
+type Refusal struct {
+	Report
+	Detail string
+	// RetryAt is when the caller may come back; zero means that nothing is said.
+	RetryAt time.Time
+}
+
+// Translator speaks one interface's words.
+type Translator interface {
+	// ReadRequest takes in what the caller says, at the time now.
+	ReadRequest(h *fasthttp.RequestHeader, now time.Time) (Caller, error)
+	// WriteRequest sets the headers that a target is to get.
+	WriteRequest(h *fasthttp.RequestHeader, o HandOver)
+	// ReadAnswer takes in what a target says.
+	ReadAnswer(resp *fasthttp.Response) Answer
+	// WriteRefusal replaces resp by an answer of the node.
+	WriteRefusal(resp *fasthttp.Response, r Refusal)
+	// FinishAnswer prepares a target's answer for the caller.
+	FinishAnswer(h *fasthttp.ResponseHeader, r Report)
+}
--- a/stand/measure/fleet.go
+++ b/stand/measure/fleet.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/hornbeamrack/hornbeamrack/connection/locator"
 	"github.com/hornbeamrack/hornbeamrack/connection/messenger"
 	"github.com/hornbeamrack/hornbeamrack/connection/registrar"
 	"github.com/hornbeamrack/hornbeamrack/process/subscriber"
@@ -251,10 +252,11 @@
 			cancel()
 			return agents, err
 		}
+		hosts := locator.New(addresses...)
 		pool := &messenger.Pool{Preface: messenger.PrefaceNode, MaxFrame: messenger.MaxNodeFrame, Wrap: count.wrap}
 		a.subscriber = &subscriber.Subscriber{
-			Node: fmt.Sprintf("agent-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%7), Address: "127.0.0.1:9", Addresses: addresses,
-			Keeper: a.keeper, Registrar: targets, Client: &messenger.Client{Addresses: addresses, Pool: pool}, Log: log.New(io.Discard), Wrap: count.wrap,
+			Node: fmt.Sprintf("agent-%d", i), DataCentre: fmt.Sprintf("dc-%d", i%7), Address: "127.0.0.1:9", Hosts: hosts,
+			Keeper: a.keeper, Registrar: targets, Client: &messenger.Client{Hosts: hosts, Pool: pool}, Log: log.New(io.Discard), Wrap: count.wrap,
 		}
 		agents = append(agents, a)
 		wait.Go(func() { _ = a.subscriber.Run(ctx) })
--- a/version/applier/applier.go
+++ b/version/applier/applier.go
@@ -147,6 +147,8 @@
 		return s.expire(index, c), Result{Outcome: OutcomeAccepted}
 	case ReportCrash:
 		return s.reportCrash(index, c), Result{Outcome: OutcomeAccepted}
+	case ReplaceDocument:
+		return s.replaceDocument(index, c)
 	}
 	return s, Result{}
 }
@@ -161,6 +163,9 @@
 		return s, kept
 	}
 	next, result := run()
+	if b, ok := c.(BeginMove); ok && b.Early && result.Outcome == OutcomeRefused {
+		return next, result // What a target's first announcement changes may be asked again.
+	}
 	result.EditID, result.Digest = id, sum
 	return next.WithResult(result), result
 }
@@ -274,7 +279,7 @@
 		return "the deadline has passed already"
 	case c.Preference != PreferDeadline && c.Preference != PreferCaution:
 		return fmt.Sprintf("unknown preference %q; use %s or %s", c.Preference, PreferDeadline, PreferCaution)
-	case !s.announced(c.Service, c.To):
+	case !c.Early && !s.announced(c.Service, c.To):
 		return fmt.Sprintf("no target of service %q runs version %q yet; start one and try again", c.Service, c.To)
 	}
 	return ""
--- a/version/applier/command.go
+++ b/version/applier/command.go
@@ -45,6 +45,8 @@
 	Preference Preference `cbor:"6,keyasint"`
 	Team       string     `cbor:"7,keyasint"`
 	At         time.Time  `cbor:"8,keyasint"`
+	// Early lets the move begin before a target of the version has announced itself.
+	Early bool `cbor:"9,keyasint,omitempty"`
 }
 
 // CancelMove ends a running move; all traffic goes back to the old version.
@@ -102,23 +104,25 @@
 	At        time.Time `cbor:"4,keyasint"`
 }
 
-func (ReportCrash) isCommand() {}
-func (EditSection) isCommand() {}
-func (BeginMove) isCommand()   {}
-func (CancelMove) isCommand()  {}
-func (StepMove) isCommand()    {}
-func (Announce) isCommand()    {}
-func (ExpireNodes) isCommand() {}
+func (ReplaceDocument) isCommand() {}
+func (ReportCrash) isCommand()     {}
+func (EditSection) isCommand()     {}
+func (BeginMove) isCommand()       {}
+func (CancelMove) isCommand()      {}
+func (StepMove) isCommand()        {}
+func (Announce) isCommand()        {}
+func (ExpireNodes) isCommand()     {}
 
 // record is a command in the log.
 type record struct {
-	Edit     *EditSection `cbor:"1,keyasint,omitempty"`
-	Begin    *BeginMove   `cbor:"2,keyasint,omitempty"`
-	Cancel   *CancelMove  `cbor:"3,keyasint,omitempty"`
-	Step     *StepMove    `cbor:"4,keyasint,omitempty"`
-	Announce *Announce    `cbor:"5,keyasint,omitempty"`
-	Expire   *ExpireNodes `cbor:"6,keyasint,omitempty"`
-	Crash    *ReportCrash `cbor:"7,keyasint,omitempty"`
+	Edit     *EditSection     `cbor:"1,keyasint,omitempty"`
+	Begin    *BeginMove       `cbor:"2,keyasint,omitempty"`
+	Cancel   *CancelMove      `cbor:"3,keyasint,omitempty"`
+	Step     *StepMove        `cbor:"4,keyasint,omitempty"`
+	Announce *Announce        `cbor:"5,keyasint,omitempty"`
+	Expire   *ExpireNodes     `cbor:"6,keyasint,omitempty"`
+	Crash    *ReportCrash     `cbor:"7,keyasint,omitempty"`
+	Replace  *ReplaceDocument `cbor:"8,keyasint,omitempty"`
 }
 
 // Encode writes a command for the log.
@@ -139,6 +143,8 @@
 		r.Expire = &c
 	case ReportCrash:
 		r.Crash = &c
+	case ReplaceDocument:
+		r.Replace = &c
 	}
 	b, err := encoder.Marshal(r)
 	if err != nil {
@@ -168,6 +174,8 @@
 		return *r.Expire, nil
 	case r.Crash != nil:
 		return *r.Crash, nil
+	case r.Replace != nil:
+		return *r.Replace, nil
 	}
 	return nil, &Error{"decode", KindDamaged, errors.New("empty command")}
 }
@@ -180,6 +188,9 @@
 		c = e
 	case BeginMove:
 		e.At = time.Time{}
+		if e.Early {
+			e.Deadline = time.Time{} // It was worked out anew from the length of the move.
+		}
 		c = e
 	case CancelMove:
 		e.At = time.Time{}
--- a/version/applier/state.go
+++ b/version/applier/state.go
@@ -16,6 +16,8 @@
 	MaxResults = 10_000
 	// MaxEvents is the number of events kept for operators.
 	MaxEvents = 2_000
+	// MaxLabels is the number of accepted documents that are remembered for resends.
+	MaxLabels = 4_096
 	// MaxGone is the number of removed endpoints that deltas can still name.
 	MaxGone = 4_096
 	// MaxSuspects is the number of requests that are remembered for crashes.
@@ -220,6 +222,8 @@
 	Events    []Event    `cbor:"9,keyasint"`
 	PastMoves []Move     `cbor:"10,keyasint"`
 	Suspects  []Suspect  `cbor:"11,keyasint"`
+	Document  Document   `cbor:"12,keyasint"`
+	Labels    []Label    `cbor:"13,keyasint"` // Labels are the documents that were accepted, oldest first.
 }
 
 // Section returns a section by name.
--- a/version/compiler/compiler.go
+++ b/version/compiler/compiler.go
@@ -12,7 +12,7 @@
 //	c := &compiler.Compiler{DataCentre: "bkk-1"}
 //	t, err := c.Compile(holding)
 //	err = keeper.Put(t)
-//	route, ok := keeper.Table().Match("GET", "/designs/7")
+//	route, ok := keeper.Table().Match("shop.example", "GET", "/designs/7")
 package compiler
 
 import (
@@ -82,10 +82,18 @@
 	return nil
 }
 
-// Route is a route with its service.
+// Part is one service of a route with its weight.
+type Part struct {
+	Target *Service
+	Weight int
+}
+
+// Route is a route with its services.
 type Route struct {
 	parser.Route
-	Target *Service
+	Target *Service // Target is the service of the first part.
+	Parts  []Part
+	Weight int // Weight is the sum over the parts.
 }
 
 // Table is one whole configuration version with one revision of endpoints. It
@@ -94,8 +102,12 @@
 	Version  uint64
 	Revision uint64
 	Waiting  int // Waiting is the number of endpoints whose service is not defined.
+	Limits   parser.Limits
+	Nodes    int // Nodes is the number of nodes that have targets.
+	index    index
 	routes   []*Route
 	services []*Service
+	byName   map[string]*Service
 	suspects []applier.Suspect
 }
 
@@ -107,9 +119,16 @@
 	DataCentre string
 
 	sections []differ.Section
+	parsed   map[string]parsed
 	document validator.Document
 }
 
+// parsed is a section that was read for the last table.
+type parsed struct {
+	body    []byte
+	content parser.Content
+}
+
 // merge returns the document of the sections.
 func (c *Compiler) merge(sections []differ.Section) (validator.Document, error) {
 	same := func(a, b differ.Section) bool { return a.Name == b.Name && bytes.Equal(a.Body, b.Body) }
@@ -117,40 +136,76 @@
 		return c.document, nil
 	}
 	sources := make([]validator.Source, 0, len(sections))
+	contents := make([]parser.Content, 0, len(sections))
+	fresh := make(map[string]parsed, len(sections))
 	for _, s := range sections {
+		p, err := c.parse(s)
+		if err != nil {
+			return validator.Document{}, &Error{"compile", KindInvalid, err}
+		}
+		fresh[s.Name] = p
 		sources = append(sources, validator.Source{Name: s.Name, Body: s.Body})
+		contents = append(contents, p.content)
 	}
-	doc, err := validator.Merge(sources)
+	doc, err := validator.Join(sources, contents)
 	if err != nil {
 		return doc, &Error{"compile", KindInvalid, err}
 	}
-	c.sections, c.document = sections, doc
+	c.sections, c.parsed, c.document = sections, fresh, doc
 	return doc, nil
 }
 
+// parse reads a section unless the last table had the same.
+func (c *Compiler) parse(s differ.Section) (parsed, error) {
+	if p, ok := c.parsed[s.Name]; ok && bytes.Equal(p.body, s.Body) {
+		return p, nil
+	}
+	content, err := parser.Parse(s.Name, s.Body)
+	return parsed{s.Body, content}, err
+}
+
 // Compile builds a table.
 func (c *Compiler) Compile(h differ.Holding) (*Table, error) {
 	doc, err := c.merge(h.Sections)
 	if err != nil {
 		return nil, err
 	}
-	t := &Table{Version: h.Version, Revision: h.Revision, suspects: h.Suspects}
+	t := &Table{Version: h.Version, Revision: h.Revision, Limits: doc.Limits, suspects: h.Suspects}
+	t.byName = make(map[string]*Service, len(doc.Services))
 	for _, s := range doc.Services {
-		t.services = append(t.services, &Service{Service: s, Traffic: trafficOf(h, s.Name)})
+		service := &Service{Service: s, Traffic: trafficOf(h, s.Name)}
+		t.services = append(t.services, service)
+		t.byName[s.Name] = service
 	}
+	node := ""
 	for _, e := range h.Endpoints {
 		t.addEndpoint(e, c.DataCentre)
+		if e.Node != node {
+			node = e.Node
+			t.Nodes++
+		}
 	}
 	for _, r := range doc.Routes {
-		t.routes = append(t.routes, &Route{Route: r, Target: t.Service(r.Service)})
+		t.routes = append(t.routes, t.newRoute(r))
 	}
 	// The longest path wins, whatever order the sections came in.
 	slices.SortStableFunc(t.routes, func(a, b *Route) int {
 		return cmp.Or(cmp.Compare(len(b.Path), len(a.Path)), strings.Compare(a.Path, b.Path))
 	})
+	t.index = newIndex(t.routes)
 	return t, t.check(h)
 }
 
+func (t *Table) newRoute(r parser.Route) *Route {
+	route := &Route{Route: r}
+	for _, share := range r.Targets() {
+		route.Parts = append(route.Parts, Part{t.Service(share.Service), share.Weight})
+		route.Weight += share.Weight
+	}
+	route.Target = route.Parts[0].Target
+	return route
+}
+
 func trafficOf(h differ.Holding, service string) applier.Traffic {
 	for _, t := range h.Traffics {
 		if t.Service == service {
@@ -181,8 +236,10 @@
 // check makes sure that nothing dangles before the table can be put in place.
 func (t *Table) check(h differ.Holding) error {
 	for _, r := range t.routes {
-		if !asserter.That(r.Target != nil && slices.Contains(t.services, r.Target), "routeHasService", "%s", r.Path) {
-			return &Error{"check", KindInvalid, errors.Errorf("route %s has no service", r.Path)}
+		for _, p := range r.Parts {
+			if !asserter.That(p.Target != nil && t.byName[p.Target.Name] == p.Target, "routeHasService", "%s", r.Path) {
+				return &Error{"check", KindInvalid, errors.Errorf("route %s has no service", r.Path)}
+			}
 		}
 	}
 	n := t.Waiting
@@ -198,14 +255,7 @@
 }
 
 // Service returns a service by name, nil when the configuration has none.
-func (t *Table) Service(name string) *Service {
-	for _, s := range t.services {
-		if s.Name == name {
-			return s
-		}
-	}
-	return nil
-}
+func (t *Table) Service(name string) *Service { return t.byName[name] }
 
 // Suspects reports whether any request of the service is remembered for
 // crashes.
@@ -229,26 +279,6 @@
 // Routes returns all routes; the caller must not change the list.
 func (t *Table) Routes() []*Route { return t.routes }
 
-// Match returns the route for a request: the longest path that takes the
-// method.
-func (t *Table) Match(method, path string) (*Route, bool) {
-	for _, r := range t.routes {
-		if below(path, r.Path) && r.Matches(method) {
-			return r, true
-		}
-	}
-	return nil, false
-}
-
-// below reports whether path is prefix itself or lies under it.
-func below(path, prefix string) bool {
-	if prefix == "/" {
-		return strings.HasPrefix(path, "/")
-	}
-	rest, ok := strings.CutPrefix(path, prefix)
-	return ok && (rest == "" || rest[0] == '/')
-}
-
 // Keeper holds the table in force.
 type Keeper struct {
 	table atomic.Pointer[Table]
--- a/version/parser/parser.go
+++ b/version/parser/parser.go
@@ -18,6 +18,12 @@
 //	    service: designs
 //	    nonIdempotent: true
 //	    importance: high
+//	  - path: /previews
+//	    host: shop.example
+//	    shares: [{service: designs, weight: 90}, {service: designs-b, weight: 10}]
+//
+// A section that a program wrote may come as CBOR, see Encode; it is read many
+// times faster than YAML.
 //
 // # Usage
 //
@@ -28,6 +34,7 @@
 package parser
 
 import (
+	"bytes"
 	"fmt"
 	"regexp"
 	"slices"
@@ -52,6 +59,8 @@
 	MaxRetries = 5
 
 	maxCount = 100_000
+	// urgencyBase keeps the ranks of priorities above those of importances.
+	urgencyBase = 1_000_000
 )
 
 // Importance orders requests when a target has too few slots.
@@ -77,16 +86,52 @@
 	Queue       int    `yaml:"queue" json:"queue"`
 }
 
-// Route sends the requests below one path to a service.
+// Share is the part of a route's requests that one service gets.
+type Share struct {
+	Service string `yaml:"service" json:"service"`
+	Weight  int    `yaml:"weight" json:"weight"`
+}
+
+// Route sends the requests below one path to a service, or to several.
 type Route struct {
 	Path          string       `yaml:"path" json:"path"`
-	Methods       []string     `yaml:"methods" json:"methods"`
-	Service       string       `yaml:"service" json:"service"`
-	NonIdempotent bool         `yaml:"nonIdempotent" json:"nonIdempotent"`
-	Stream        bool         `yaml:"stream" json:"stream"`
-	Importance    Importance   `yaml:"importance" json:"importance"`
+	Host          string       `yaml:"host" json:"host,omitempty"` // Host is empty for a route that holds for every host.
+	Methods       []string     `yaml:"methods" json:"methods,omitempty"`
+	Service       string       `yaml:"service" json:"service,omitempty"`
+	Shares        []Share      `yaml:"shares" json:"shares,omitempty"` // Shares stands in place of Service.
+	NonIdempotent bool         `yaml:"nonIdempotent" json:"nonIdempotent,omitempty"`
+	Idempotent    bool         `yaml:"idempotent" json:"idempotent,omitempty"` // Idempotent overrides what the method says.
+	Stream        bool         `yaml:"stream" json:"stream,omitempty"`
+	Bulk          bool         `yaml:"bulk" json:"bulk,omitempty"` // Bulk means that answers are large; near targets are then preferred more.
+	Importance    Importance   `yaml:"importance" json:"importance,omitempty"`
+	Priority      int          `yaml:"priority" json:"priority,omitempty"` // Priority ranks finer than Importance: 1 goes first, 0 leaves it to Importance.
 	Timeout       decoder.Span `yaml:"timeout" json:"timeout"`
-	Retries       int          `yaml:"retries" json:"retries"`
+	Aim           decoder.Span `yaml:"aim" json:"aim,omitempty"` // Aim is the time within which an answer is worth most; 0 means the timeout.
+	Retries       int          `yaml:"retries" json:"retries,omitempty"`
+}
+
+// Targets returns the shares of the route; a route with one service has one.
+func (r Route) Targets() []Share {
+	if len(r.Shares) > 0 {
+		return r.Shares
+	}
+	return []Share{{Service: r.Service, Weight: 1}}
+}
+
+// Rank returns a number that is higher for requests that go first.
+func (r Route) Rank() int {
+	if r.Priority > 0 {
+		return urgencyBase - r.Priority
+	}
+	return r.Importance.Rank()
+}
+
+// AimTime returns the time within which an answer is worth most.
+func (r Route) AimTime() time.Duration {
+	if r.Aim == 0 {
+		return r.Timeout.Duration()
+	}
+	return r.Aim.Duration()
 }
 
 // Matches reports whether the route takes requests of the method.
@@ -94,10 +139,20 @@
 	return len(r.Methods) == 0 || slices.Contains(r.Methods, method)
 }
 
+// Limits bound what callers may send. At most one section has them; a field
+// that is 0 leaves the bound to the node.
+type Limits struct {
+	HeaderBytes   int          `yaml:"headerBytes" json:"headerBytes,omitempty"`
+	BodyBytes     int          `yaml:"bodyBytes" json:"bodyBytes,omitempty"`
+	HeaderTimeout decoder.Span `yaml:"headerTimeout" json:"headerTimeout,omitempty"`
+	IdleTimeout   decoder.Span `yaml:"idleTimeout" json:"idleTimeout,omitempty"`
+}
+
 // Content is one section as it was understood.
 type Content struct {
-	Services []Service `yaml:"services" json:"services"`
-	Routes   []Route   `yaml:"routes" json:"routes"`
+	Services []Service `yaml:"services" json:"services,omitempty"`
+	Routes   []Route   `yaml:"routes" json:"routes,omitempty"`
+	Limits   *Limits   `yaml:"limits" json:"limits,omitempty"`
 }
 
 var (
@@ -111,10 +166,16 @@
 // Parse reads a section. section names it in errors, which are of type
 // *decoder.Error.
 func Parse(section string, body []byte) (Content, error) {
+	if encoded, ok := bytes.CutPrefix(body, encodedMark); ok {
+		return decode(section, body, encoded)
+	}
 	var c Content
 	if err := decoder.Decode(section, body, &c); err != nil {
 		return Content{}, err
 	}
+	if l := c.Limits; l != nil && (l.HeaderBytes < 0 || l.BodyBytes < 0) {
+		return Content{}, decoder.At(section, body, "$.limits", "a limit is below 0").WithMend("use a number of bytes, or leave the key out")
+	}
 	for i := range c.Services {
 		if err := checkService(section, body, i, &c.Services[i]); err != nil {
 			return Content{}, err
@@ -164,8 +225,14 @@
 				WithMend("use one of %s", strings.Join(methodNames, ", "))
 		}
 	}
-	if r.Service == "" {
-		return decoder.At(section, body, at, "the route names no service").WithMend("add service: NAME")
+	if err := checkShares(section, body, at, r); err != nil {
+		return err
+	}
+	if r.NonIdempotent && r.Idempotent {
+		return decoder.At(section, body, at+".idempotent", "the route is both idempotent and nonIdempotent").WithMend("remove one of the two")
+	}
+	if r.Priority < 0 {
+		return decoder.At(section, body, at+".priority", "priority is %d", r.Priority).WithMend("use 1 for the most urgent requests")
 	}
 	if r.Importance == "" {
 		r.Importance = ImportanceNormal
@@ -180,8 +247,32 @@
 	if r.Timeout.Duration() > MaxTimeout {
 		return decoder.At(section, body, at+".timeout", "timeout is longer than %s", MaxTimeout).WithMend("use at most %s", MaxTimeout)
 	}
+	if r.Aim.Duration() > r.Timeout.Duration() {
+		return decoder.At(section, body, at+".aim", "aim is longer than the timeout").WithMend("use at most %s", r.Timeout.Duration())
+	}
 	if r.Retries < 0 || r.Retries > MaxRetries {
 		return decoder.At(section, body, at+".retries", "retries is %d", r.Retries).WithMend("use 0 to %d", MaxRetries)
 	}
 	return nil
 }
+
+func checkShares(section string, body []byte, at string, r *Route) error {
+	switch {
+	case r.Service == "" && len(r.Shares) == 0:
+		return decoder.At(section, body, at, "the route names no service").WithMend("add service: NAME")
+	case r.Service != "" && len(r.Shares) > 0:
+		return decoder.At(section, body, at+".shares", "the route has both service and shares").WithMend("remove one of the two")
+	}
+	sum := 0
+	for i, s := range r.Shares {
+		if s.Service == "" || s.Weight < 0 || s.Weight > maxCount {
+			return decoder.At(section, body, fmt.Sprintf("%s.shares[%d]", at, i), "the share has no service or no valid weight").
+				WithMend("write {service: NAME, weight: 0 to %d}", maxCount)
+		}
+		sum += s.Weight
+	}
+	if len(r.Shares) > 0 && sum == 0 {
+		return decoder.At(section, body, at+".shares", "the weights add up to 0").WithMend("give a share a weight above 0")
+	}
+	return nil
+}
--- a/version/validator/validator.go
+++ b/version/validator/validator.go
@@ -31,6 +31,7 @@
 type Document struct {
 	Services []parser.Service
 	Routes   []parser.Route
+	Limits   parser.Limits
 }
 
 // HasService reports whether the document defines the service.
@@ -42,13 +43,24 @@
 type merger struct {
 	document Document
 	services map[string]string
-	routes   map[string]string
+	routes   map[routeKey]string
+	limits   string // limits is the section that has them.
+}
+
+// routeKey is what only one route may claim.
+type routeKey struct{ host, method, path string }
+
+// String describes the claim to operators.
+func (k routeKey) String() string {
+	if k.host == "" {
+		return k.method + " " + k.path
+	}
+	return k.method + " " + k.host + k.path
 }
 
 // Merge parses and joins sections. The order of sources does not matter for
 // whether it succeeds.
 func Merge(sources []Source) (Document, error) {
-	m := merger{services: map[string]string{}, routes: map[string]string{}}
 	contents := make([]parser.Content, len(sources))
 	for i, s := range sources {
 		c, err := parser.Parse(s.Name, s.Body)
@@ -56,7 +68,18 @@
 			return Document{}, err
 		}
 		contents[i] = c
-		if err := m.addServices(s, c); err != nil {
+	}
+	return Join(sources, contents)
+}
+
+// Join joins sections that were parsed already.
+func Join(sources []Source, contents []parser.Content) (Document, error) {
+	m := merger{services: map[string]string{}, routes: map[routeKey]string{}}
+	for i, s := range sources {
+		if err := m.addServices(s, contents[i]); err != nil {
+			return Document{}, err
+		}
+		if err := m.addLimits(s, contents[i]); err != nil {
 			return Document{}, err
 		}
 	}
@@ -80,10 +103,23 @@
 	return nil
 }
 
+func (m *merger) addLimits(s Source, c parser.Content) error {
+	if c.Limits == nil {
+		return nil
+	}
+	if m.limits != "" {
+		return decoder.At(s.Name, s.Body, "$.limits", "section %q has limits already", m.limits).WithMend("keep them in one section")
+	}
+	m.limits, m.document.Limits = s.Name, *c.Limits
+	return nil
+}
+
 func (m *merger) addRoutes(s Source, c parser.Content) error {
 	for i, r := range c.Routes {
-		if _, ok := m.services[r.Service]; !ok {
-			return m.unknownService(s, i, r)
+		for _, t := range r.Targets() {
+			if _, ok := m.services[t.Service]; !ok {
+				return m.unknownService(s, i, t.Service)
+			}
 		}
 		if err := m.claimPath(s, i, r); err != nil {
 			return err
@@ -93,14 +129,14 @@
 	return nil
 }
 
-func (m *merger) unknownService(s Source, i int, r parser.Route) error {
-	e := decoder.At(s.Name, s.Body, fmt.Sprintf("$.routes[%d].service", i), "no section defines service %q", r.Service)
+func (m *merger) unknownService(s Source, i int, service string) error {
+	e := decoder.At(s.Name, s.Body, fmt.Sprintf("$.routes[%d].service", i), "no section defines service %q", service)
 	var known []string
 	for name := range m.services {
 		known = append(known, name)
 	}
 	slices.Sort(known)
-	if near := decoder.Nearest(r.Service, known); near != "" {
+	if near := decoder.Nearest(service, known); near != "" {
 		return e.WithMend("did you mean %q?", near)
 	}
 	return e.WithMend("define the service first; known ones: %s", strings.Join(known, ", "))
@@ -112,7 +148,7 @@
 		methods = []string{"*"}
 	}
 	for _, method := range methods {
-		key := method + " " + r.Path
+		key := routeKey{r.Host, method, r.Path}
 		if owner, ok := m.routes[key]; ok {
 			return decoder.At(s.Name, s.Body, fmt.Sprintf("$.routes[%d].path", i),
 				"%s is routed in section %q already", key, owner).WithMend("use another path or method")
