A planned stop is not ended by SIGHUP, and begins nothing that it cannot finish

Change: the reloader outlives the stop; the second half of a stop refuses new requests as not run; calls to control hosts last 1.2 s at most. Drops of log lines are reported once a second.

--- a/commands/daemon_run.go
+++ b/commands/daemon_run.go
@@ -68,8 +68,10 @@
 	}
 	defer p.journal.Close()
 	p.log.Info("started", "roles", s.Roles, "dataCentre", s.DataCentre, "seeds", s.Discovery.Seeds, "found", s.Discovery.Found, "adapter", s.Edge.Adapter)
-	r := &reloader{file: file, parts: p}
-	go r.run(ctx)
+	// The reloader outlives ctx: a SIGHUP during a planned stop must not end it.
+	watch, stopWatch := context.WithCancel(context.Background())
+	defer stopWatch()
+	go (&reloader{file: file, parts: p}).run(watch)
 	err = p.run(ctx)
 	flush, cancel := context.WithTimeout(context.Background(), traceFlushTimeout)
 	defer cancel()
--- a/common/journaler/journaler.go
+++ b/common/journaler/journaler.go
@@ -30,6 +30,8 @@
 	linesPerSecond = 20
 	// sampleEvery is the part of ordinary events that is written: one in so many.
 	sampleEvery = 10
+	// dropInterval is the least time between two lines on drops.
+	dropInterval = time.Second
 )
 
 var droppedTotal = metrics.NewCounter("hornbeam_log_lines_dropped_total")
@@ -77,12 +79,16 @@
 
 func (j *Journal) run() {
 	defer close(j.done)
+	var said time.Time // said is when drops were last reported.
 	for line := range j.lines {
 		if line == nil {
 			return
 		}
-		if n := j.dropped.Swap(0); n > 0 {
-			j.Warn("log lines dropped", "lines", n)
+		if now := time.Now(); now.Sub(said) >= dropInterval {
+			if n := j.dropped.Swap(0); n > 0 {
+				said = now
+				j.Warn("log lines dropped", "lines", n)
+			}
 		}
 		if _, err := j.out.Write(line); err != nil {
 			droppedTotal.Inc() // There is no other place to say so.
--- a/process/proxier/proxier.go
+++ b/process/proxier/proxier.go
@@ -57,6 +57,9 @@
 	leaveTimeout    = 2 * time.Second
 	// stopMargin is kept between the end of a planned stop and its limit.
 	stopMargin = 600 * time.Millisecond
+	// servePart is the part of a planned stop, one in so many, during which new
+	// requests are still begun; the rest is for finishing them.
+	servePart = 2
 	// quietTime without a request shows that the callers have gone elsewhere.
 	quietTime = 500 * time.Millisecond
 )
@@ -248,6 +251,7 @@
 func (p *Proxier) drain(limit time.Time) {
 	p.draining.Store(true)
 	p.entry.Drain()
+	lastEntry := time.Now().Add(p.Settings.StopTime.Duration() / servePart)
 	until := time.Now().Add(p.Settings.Node.DrainTime.Duration())
 	leave, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
@@ -257,7 +261,11 @@
 	// Requests that other nodes send meanwhile are still served.
 	time.Sleep(time.Until(until))
 	p.registrar.LeaveAll()
-	for time.Now().Before(limit) && (p.executor.InFlight() > 0 || p.entry.Open() > 0 || time.Since(p.entry.LastRequest()) < quietTime) {
+	busy := func() bool { return p.executor.InFlight() > 0 || p.entry.Open() > 0 }
+	for time.Now().Before(limit) && (busy() || time.Since(p.entry.LastRequest()) < quietTime) {
+		if time.Now().After(lastEntry) {
+			p.receiver.Stop()
+		}
 		time.Sleep(drainCheck)
 	}
 }
--- a/process/subscriber/subscriber.go
+++ b/process/subscriber/subscriber.go
@@ -38,8 +38,10 @@
 )
 
 const (
-	syncWait       = 2 * time.Second
-	syncTimeout    = syncWait + 1500*time.Millisecond
+	// syncWait is how long a call stays open; a control host that a partition
+	// has cut off is noticed at the latest after syncTimeout.
+	syncWait       = 700 * time.Millisecond
+	syncTimeout    = syncWait + 500*time.Millisecond
 	announceLimit  = 2 * time.Second
 	expireInterval = 500 * time.Millisecond
 	firstBackoff   = 50 * time.Millisecond
--- a/request/receiver/attempt.go
+++ b/request/receiver/attempt.go
@@ -31,6 +31,8 @@
 	retryPause    = 250 * time.Millisecond
 	retrySpread   = 250 * time.Millisecond
 	notReadyPause = 500 * time.Millisecond
+	// stoppingPause is about what a process takes to be back.
+	stoppingPause = 800 * time.Millisecond
 )
 
 // attempt is the state of one request while endpoints are tried.
--- a/request/receiver/receiver.go
+++ b/request/receiver/receiver.go
@@ -83,6 +83,7 @@
 	Journal    *journaler.Journal // Journal may be nil.
 
 	origin   atomic.Pointer[string]
+	stopping atomic.Bool
 	inFlight atomic.Int64
 	idOnce   sync.Once
 	idPrefix string
@@ -101,6 +102,10 @@
 	return ""
 }
 
+// Stop makes the receiver refuse every new request. The process is about to
+// end, and a request that is begun now could not be finished.
+func (v *Receiver) Stop() { v.stopping.Store(true) }
+
 // InFlight returns the number of requests that callers wait for.
 func (v *Receiver) InFlight() int64 { return v.inFlight.Load() }
 
@@ -139,6 +144,10 @@
 		x.CloseAfter()
 		return v.refuse(x, translator.NotRun(translator.ReasonBadRequest), err.Error(), time.Time{})
 	}
+	if v.stopping.Load() {
+		x.CloseAfter()
+		return v.refuse(x, translator.NotRun(translator.ReasonStopping), "this node is stopping", x.ReceivedAt.Add(stoppingPause))
+	}
 	table := v.Tables.Table()
 	if table == nil {
 		return v.refuse(x, translator.NotRun(translator.ReasonNotReady), "this node has no confirmed configuration yet", x.ReceivedAt.Add(notReadyPause))
--- a/stand/starter/starter.go
+++ b/stand/starter/starter.go
@@ -298,6 +298,9 @@
 // Freeze stops the process's time; Thaw lets it go on.
 func (p *Process) Freeze() error { return p.cmd.Process.Signal(syscall.SIGSTOP) }
 
+// Signal sends a signal to the process.
+func (p *Process) Signal(s os.Signal) error { return p.cmd.Process.Signal(s) }
+
 // Thaw lets a frozen process go on.
 func (p *Process) Thaw() error { return p.cmd.Process.Signal(syscall.SIGCONT) }
 
