Large answers stay in their data centre, and the heap stays smaller

Change: the cost of a far endpoint for large answers 60 to 400 ms; collections at 300 in place of 800.

--- a/commands/daemon_run.go
+++ b/commands/daemon_run.go
@@ -29,7 +29,7 @@
 	traceFlushTimeout = 3 * time.Second
 	// gcPercent lets a node's small heap grow between collections, which would
 	// else come many times a second; the memory limit still bounds it.
-	gcPercent = 800
+	gcPercent = 300
 )
 
 // runCommand runs the daemon.
--- a/request/router/router.go
+++ b/request/router/router.go
@@ -44,7 +44,7 @@
 	// farCost is what a way to another data centre adds, there and back.
 	farCost = 4 * time.Millisecond
 	// farBulkCost stands for the price of carrying a large answer between data centres.
-	farBulkCost = 60 * time.Millisecond
+	farBulkCost = 400 * time.Millisecond
 	// firstUsual is assumed of a target while nothing is known of any.
 	firstUsual = 100 * time.Millisecond
 	// usualWeight is the number of answers that the usual latency looks back on.
