Endpoints are placed by their slowness against the usual time of a route

Change: slowness is the ratio to the route's usual time; what is out for long counts before it is answered; no further attempt without 0.8 of the usual time; a caller whose request a target with room refused may come back at once. Tried with it and taken out: taking idempotent requests back from an endpoint at three times the usual time.

--- a/request/receiver/attempt.go
+++ b/request/receiver/attempt.go
@@ -18,8 +18,10 @@
 )
 
 const (
-	// minRetryTime is the time that a further attempt needs to make sense.
+	// minRetryTime is the time that a further attempt needs to make sense, and
+	// retryShare the part of the usual time.
 	minRetryTime = 5 * time.Millisecond
+	retryShare   = 0.8
 	// maxOffers bounds the owners that one request is offered to.
 	maxOffers = 6
 	// leastWait lets a slot that is just being freed be waited for.
@@ -31,6 +33,7 @@
 	retryPause    = 250 * time.Millisecond
 	retrySpread   = 250 * time.Millisecond
 	notReadyPause = 500 * time.Millisecond
+	shedPause     = 20 * time.Millisecond
 	// stoppingPause is about what a process takes to be back.
 	stoppingPause = 800 * time.Millisecond
 )
@@ -80,8 +83,8 @@
 	}
 	report, detail := translator.NotRun(translator.ReasonNoTarget), "no target runs this service"
 	for n := 0; n < maxOffers; n++ {
-		c, ok := v.Board.Pick(router.Query{Service: a.service, Version: a.version, Tried: a.tried, Bulk: a.route.Bulk || a.route.Stream})
-		if !ok {
+		c, ok := v.Board.Pick(router.Query{Service: a.service, Version: a.version, Route: a.routeName(), Tried: a.tried, Bulk: a.route.Bulk || a.route.Stream})
+		if !ok || (n > 0 && time.Until(a.deadline) < time.Duration(retryShare*float64(c.Usual))) {
 			break
 		}
 		a.tried = append(a.tried, c.EndpointKey)
@@ -102,6 +105,9 @@
 	return v.end(a, report, detail)
 }
 
+// routeName identifies the route in what nodes learn of it.
+func (a *attempt) routeName() string { return a.route.Host + a.route.Path }
+
 // awaitTurn waits until every earlier answer on the connection is written. It
 // is false when the caller hung up.
 func (a *attempt) awaitTurn() bool {
@@ -161,7 +167,7 @@
 func (v *Receiver) send(a *attempt, c router.Choice) (translator.Report, string) {
 	now := time.Now()
 	o := executor.Order{
-		RequestID: a.caller.RequestID, Attempt: v.requestID(), Target: c.Target, Route: a.route.Host + a.route.Path, Unsafe: a.unsafe, Stream: a.route.Stream,
+		RequestID: a.caller.RequestID, Attempt: v.requestID(), Target: c.Target, Route: a.routeName(), Unsafe: a.unsafe, Stream: a.route.Stream,
 		Rank: a.route.Rank(), Origin: v.originService(), Deadline: a.deadline, WaitTill: a.waitTill(c, now), Aim: a.aim,
 	}
 	done := v.Board.Begin(c.EndpointKey)
@@ -182,7 +188,7 @@
 	v.Board.Said(c.EndpointKey, r.Load)
 	switch {
 	case r.Outcome == forwarder.OutcomeRan && !a.failed():
-		v.Board.Answered(c.EndpointKey, max(took-r.Load.Wait, time.Millisecond))
+		v.Board.Answered(c.EndpointKey, a.routeName(), max(took-r.Load.Wait, time.Millisecond))
 	case r.Reason != translator.ReasonHungUp && r.Reason != translator.ReasonLimit:
 		v.Board.Penalise(c.EndpointKey)
 	}
@@ -231,10 +237,15 @@
 	if detail == "" {
 		detail = string(a.x.Response.Body())
 	}
-	retryAt := time.Now().Add(retryPause + time.Duration(rand.Int64N(int64(retrySpread))))
-	if r.Load.Wait > 0 {
-		retryAt = retryAt.Add(r.Load.Wait)
-	}
 	v.logRefusal(a, r, detail)
-	return v.refuse(a.x, r, detail, retryAt)
+	return v.refuse(a.x, r, detail, retryAt(r, time.Now()))
+}
+
+// retryAt tells the caller when a refused request is likely to be served.
+func retryAt(r translator.Report, now time.Time) time.Time {
+	if r.Reason == translator.ReasonShed {
+		// The target has room; it refused this one request.
+		return now.Add(shedPause)
+	}
+	return now.Add(retryPause + r.Load.Wait + rand.N(retrySpread))
 }
--- a/request/router/router.go
+++ b/request/router/router.go
@@ -47,8 +47,16 @@
 	farBulkCost = 400 * time.Millisecond
 	// firstUsual is assumed of a target while nothing is known of any.
 	firstUsual = 100 * time.Millisecond
-	// usualWeight is the number of answers that the usual latency looks back on.
-	usualWeight = 8
+	// usualWeight and slownessWeight are the numbers of answers that the usual
+	// latency of a route and the slowness of an endpoint look back on.
+	usualWeight    = 64
+	slownessWeight = 6
+	mostSlowness   = 20
+	// overdue is how many times its usual time a request may be out before it
+	// tells that its target is slow.
+	overdue = 2
+	// busyCost is the part that a target with no idle slot costs more.
+	busyCost = 0.2
 	// wordLife is how long an owner's word on its load keeps most of its weight.
 	wordLife = 400 * time.Millisecond
 	// tie spreads nodes over endpoints that are about equally good.
@@ -80,11 +88,20 @@
 
 // load is what this node knows of one endpoint.
 type load struct {
-	inFlight     int
-	usual        time.Duration // usual is the moving average of latencies, 0 while unknown.
-	others       float64       // others is the number of requests there that this node did not send.
-	saidAt       time.Time     // saidAt is when the owner said so.
-	penalisedTil time.Time     // penalisedTil is the deadline before which the endpoint is avoided.
+	out          map[uint64]time.Time // out holds when each request in flight was sent.
+	slowness     float64              // slowness is how long answers take against the usual of their routes, 0 while unknown.
+	others       float64              // others is the number of requests there that this node did not send.
+	saidAt       time.Time            // saidAt is when the owner said so.
+	penalisedTil time.Time            // penalisedTil is the deadline before which the endpoint is avoided.
+}
+
+// oldest returns how long the oldest request in flight has been out.
+func (l *load) oldest(now time.Time) time.Duration {
+	age := time.Duration(0)
+	for _, at := range l.out {
+		age = max(age, now.Sub(at))
+	}
+	return age
 }
 
 // Board is the node's shared table of endpoint loads. It is safe for
@@ -92,13 +109,16 @@
 type Board struct {
 	mu    sync.Mutex
 	loads map[applier.EndpointKey]*load
+	usual map[string]time.Duration // usual is the moving average of latencies by route.
 	turns map[string]float64
+	sent  uint64
 }
 
 // Query asks for an endpoint.
 type Query struct {
 	Service *compiler.Service
 	Version string
+	Route   string // Route names the route, for how long its requests usually take.
 	Tried   []applier.EndpointKey
 	Bulk    bool // Bulk means that the answer is large.
 }
@@ -147,7 +167,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	usual := b.usualOf(p)
+	usual, ok := b.usual[q.Route]
+	if !ok {
+		usual = firstUsual
+	}
 	far := farCost
 	if q.Bulk {
 		far = farBulkCost
@@ -170,24 +193,6 @@
 	return best, found
 }
 
-// usualOf returns the mean latency of the pool, for endpoints that nothing is
-// known of yet.
-func (b *Board) usualOf(p *compiler.Pool) time.Duration {
-	sum, n := time.Duration(0), 0
-	for _, list := range [2][]applier.Endpoint{p.Near, p.Far} {
-		for _, e := range list {
-			if l := b.loads[e.EndpointKey]; l != nil && l.usual > 0 {
-				sum += l.usual
-				n++
-			}
-		}
-	}
-	if n == 0 {
-		return firstUsual
-	}
-	return sum / time.Duration(n)
-}
-
 // estimate returns when an endpoint is expected to answer, in seconds.
 func (b *Board) estimate(e applier.Endpoint, usual time.Duration, now time.Time) (Choice, float64) {
 	l := b.loads[e.EndpointKey]
@@ -195,10 +200,13 @@
 	if l == nil {
 		return c, usual.Seconds()
 	}
-	if l.usual > 0 {
-		c.Usual = l.usual
+	if l.slowness > 0 {
+		c.Usual = time.Duration(float64(usual) * l.slowness)
 	}
-	busy := float64(l.inFlight) + l.others*math.Exp(-float64(now.Sub(l.saidAt))/float64(wordLife))
+	// What has been out for long tells that the target is slow before any
+	// answer does.
+	c.Usual = max(c.Usual, l.oldest(now)/overdue)
+	busy := float64(len(l.out)) + l.others*math.Exp(-float64(now.Sub(l.saidAt))/float64(wordLife))
 	slots := float64(max(e.Slots, 1))
 	if ahead := busy + 1 - slots; ahead > 0 {
 		c.Wait = time.Duration(ahead / slots * float64(c.Usual))
@@ -206,7 +214,7 @@
 	cost := (c.Usual + c.Wait).Seconds()
 	// A target with idle slots answers as fast as one with few, but leaves room
 	// for what other nodes send meanwhile.
-	cost *= 1 + 0.2*min(busy/slots, 1)
+	cost *= 1 + busyCost*min(busy/slots, 1)
 	if now.Before(l.penalisedTil) {
 		cost += PenaltyTime.Seconds()
 	}
@@ -218,11 +226,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	l := b.entry(k)
-	l.inFlight++
+	b.sent++
+	id := b.sent
+	l.out[id] = time.Now()
 	return func() {
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		l.inFlight--
+		delete(l.out, id)
 	}
 }
 
@@ -235,20 +245,28 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	l := b.entry(k)
-	l.others = max(0, float64(w.Busy-l.inFlight))
+	l.others = max(0, float64(w.Busy-len(l.out)))
 	l.saidAt = time.Now()
 }
 
-// Answered takes in how long an endpoint took.
-func (b *Board) Answered(k applier.EndpointKey, latency time.Duration) {
+// Answered takes in how long an endpoint took for a request of a route.
+func (b *Board) Answered(k applier.EndpointKey, route string, latency time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.usual == nil || len(b.usual) > maxIdleEntries {
+		b.usual = map[string]time.Duration{}
+	}
+	usual, ok := b.usual[route]
+	if !ok {
+		usual = latency
+	}
+	b.usual[route] = usual + (latency-usual)/usualWeight
 	l := b.entry(k)
-	if l.usual == 0 {
-		l.usual = latency
-		return
+	ratio := min(float64(latency)/float64(max(usual, time.Millisecond)), mostSlowness)
+	if l.slowness == 0 {
+		l.slowness = 1
 	}
-	l.usual += (latency - l.usual) / usualWeight
+	l.slowness += (ratio - l.slowness) / slownessWeight
 }
 
 // Penalise avoids an endpoint for a while.
@@ -268,7 +286,7 @@
 	if len(b.loads) >= maxIdleEntries {
 		b.forgetIdle()
 	}
-	l := &load{}
+	l := &load{out: map[uint64]time.Time{}}
 	b.loads[k] = l
 	return l
 }
@@ -277,7 +295,7 @@
 func (b *Board) forgetIdle() {
 	now := time.Now()
 	for k, l := range b.loads {
-		if l.inFlight == 0 && now.After(l.penalisedTil) {
+		if len(l.out) == 0 && now.After(l.penalisedTil) {
 			delete(b.loads, k)
 		}
 	}
