--- a/request/router/router.go
+++ b/request/router/router.go
@@ -95,13 +95,20 @@
 	penalisedTil time.Time            // penalisedTil is the deadline before which the endpoint is avoided.
 }
 
-// oldest returns how long the oldest request in flight has been out.
-func (l *load) oldest(now time.Time) time.Duration {
-	age := time.Duration(0)
+// overdueFor returns how long the second oldest request in flight has been
+// out: a single one may just be long.
+func (l *load) overdueFor(now time.Time) time.Duration {
+	var oldest, second time.Duration
 	for _, at := range l.out {
-		age = max(age, now.Sub(at))
+		age := now.Sub(at)
+		switch {
+		case age > oldest:
+			oldest, second = age, oldest
+		case age > second:
+			second = age
+		}
 	}
-	return age
+	return second
 }
 
 // Board is the node's shared table of endpoint loads. It is safe for
@@ -205,7 +212,7 @@
 	}
 	// What has been out for long tells that the target is slow before any
 	// answer does.
-	c.Usual = max(c.Usual, l.oldest(now)/overdue)
+	c.Usual = max(c.Usual, l.overdueFor(now)/overdue)
 	busy := float64(len(l.out)) + l.others*math.Exp(-float64(now.Sub(l.saidAt))/float64(wordLife))
 	slots := float64(max(e.Slots, 1))
 	if ahead := busy + 1 - slots; ahead > 0 {
