New endpoints are taken for cold and explored one request at a time

Change: an unknown endpoint costs twice the usual time, and one request in ten explores it while it has none; learned slowness fades over 4 s.

--- a/request/router/router.go
+++ b/request/router/router.go
@@ -52,6 +52,13 @@
 	usualWeight    = 64
 	slownessWeight = 6
 	mostSlowness   = 20
+	// coldSlowness is that of a target that has just started.
+	coldSlowness = 2
+	// slownessLife is how long a learned slowness keeps most of its weight.
+	slownessLife = 4 * time.Second
+	// exploreShare is the part of requests that try an endpoint which nothing is
+	// known of, one at a time.
+	exploreShare = 0.1
 	// overdue is how many times its usual time a request may be out before it
 	// tells that its target is slow.
 	overdue = 2
@@ -90,11 +97,28 @@
 type load struct {
 	out          map[uint64]time.Time // out holds when each request in flight was sent.
 	slowness     float64              // slowness is how long answers take against the usual of their routes, 0 while unknown.
+	learnedAt    time.Time            // learnedAt is when slowness was last learned.
 	others       float64              // others is the number of requests there that this node did not send.
 	saidAt       time.Time            // saidAt is when the owner said so.
 	penalisedTil time.Time            // penalisedTil is the deadline before which the endpoint is avoided.
 }
 
+// unknownLoad stands for an endpoint that this node has not used yet.
+var unknownLoad load
+
+// slownessAt returns the slowness that is assumed now. What was learned fades,
+// so that a target that was cold or slow is used again. One that nothing is
+// known of is taken for a cold one, or all nodes would rush to it.
+func (l *load) slownessAt(now time.Time) float64 {
+	if l.slowness == 0 {
+		return coldSlowness
+	}
+	if l.slowness <= 1 {
+		return l.slowness
+	}
+	return 1 + (l.slowness-1)*math.Exp(-float64(now.Sub(l.learnedAt))/float64(slownessLife))
+}
+
 // overdueFor returns how long the second oldest request in flight has been
 // out: a single one may just be long.
 func (l *load) overdueFor(now time.Time) time.Duration {
@@ -203,13 +227,10 @@
 // estimate returns when an endpoint is expected to answer, in seconds.
 func (b *Board) estimate(e applier.Endpoint, usual time.Duration, now time.Time) (Choice, float64) {
 	l := b.loads[e.EndpointKey]
-	c := Choice{Endpoint: e, Usual: usual}
 	if l == nil {
-		return c, usual.Seconds()
-	}
-	if l.slowness > 0 {
-		c.Usual = time.Duration(float64(usual) * l.slowness)
+		l = &unknownLoad
 	}
+	c := Choice{Endpoint: e, Usual: time.Duration(float64(usual) * l.slownessAt(now))}
 	// What has been out for long tells that the target is slow before any
 	// answer does.
 	c.Usual = max(c.Usual, l.overdueFor(now)/overdue)
@@ -224,6 +245,8 @@
 	cost *= 1 + busyCost*min(busy/slots, 1)
 	if now.Before(l.penalisedTil) {
 		cost += PenaltyTime.Seconds()
+	} else if l.slowness == 0 && len(l.out) == 0 && rand.Float64() < exploreShare {
+		cost = 0
 	}
 	return c, cost
 }
@@ -271,9 +294,10 @@
 	l := b.entry(k)
 	ratio := min(float64(latency)/float64(max(usual, time.Millisecond)), mostSlowness)
 	if l.slowness == 0 {
-		l.slowness = 1
+		l.slowness = ratio
 	}
 	l.slowness += (ratio - l.slowness) / slownessWeight
+	l.learnedAt = time.Now()
 }
 
 // Penalise avoids an endpoint for a while.
