Nodes wait for the end of an election, which is shorter

Its logs: control hosts back at 33.75 s, a leader at 34.55 s, nodes connected from 34.58 to 35.41 s, each after its own backoff.

--- a/process/configurer/configurer.go
+++ b/process/configurer/configurer.go
@@ -48,6 +48,8 @@
 
 	maxControlHosts = 7
 	maxPort         = 65535
+	leastElection   = 200 * time.Millisecond
+	mostElection    = 10 * time.Second
 	// softPart is the part of the hard memory limit that the heap is held to.
 	softPart = 0.6
 )
@@ -154,6 +156,8 @@
 	OperatorAddress string `yaml:"operatorAddress"`
 	Peers           []Peer `yaml:"peers"`
 	Teams           []Team `yaml:"teams"`
+	// ElectionTimeout is the least silence of a leader after which another is elected.
+	ElectionTimeout decoder.Span `yaml:"electionTimeout"`
 }
 
 // Peer is one control host.
@@ -318,6 +322,9 @@
 	if s.DataFolder == "" {
 		c.fail("$.dataFolder", "name a folder on a disk that lasts", "a control host needs a dataFolder")
 	}
+	if e := s.Control.ElectionTimeout.Duration(); e != 0 && (e < leastElection || e > mostElection) {
+		c.fail("$.control.electionTimeout", fmt.Sprintf("use %s to %s, several times the way between control hosts", leastElection, mostElection), "electionTimeout is %s", e)
+	}
 	if len(s.Discovery.Seeds) > 0 && len(s.Control.Peers) == 0 {
 		c.checkTeams(s.Control)
 		return
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -90,11 +90,13 @@
 	// Hosts, when set, finds the other control hosts, and Peers stays empty. The
 	// groups then begin with the seeds, and other hosts join by themselves.
 	Hosts *locator.Locator
-	Seeds []string // Seeds are the addresses of the hosts that the groups begin with.
-	Found bool     // Found allows this host to begin the groups, with every disk new.
-	Teams []Team
-	Log   *log.Logger
-	Wrap  func(net.Conn) net.Conn // Wrap, when set, sees each connection, for counting.
+	// ElectionTimeout is replicator.DefaultElectionTimeout when zero.
+	ElectionTimeout time.Duration
+	Seeds           []string // Seeds are the addresses of the hosts that the groups begin with.
+	Found           bool     // Found allows this host to begin the groups, with every disk new.
+	Teams           []Team
+	Log             *log.Logger
+	Wrap            func(net.Conn) net.Conn // Wrap, when set, sees each connection, for counting.
 
 	identityMu sync.Mutex // identityMu guards identity.Initial until the host has joined.
 	identity   Identity
@@ -163,7 +165,7 @@
 func (c *Controller) newMember(name string, a replicator.Applier) *member {
 	s := &sender{pool: c.pool, group: name, known: c.addressOf}
 	return &member{sender: s, group: &replicator.Group{
-		Name: name, ID: c.identity.ID, Applier: a, Sender: s, Seed: seedOf(c.identity.ID), Now: clock.Now,
+		Name: name, ID: c.identity.ID, Applier: a, Sender: s, Seed: seedOf(c.identity.ID), Now: clock.Now, ElectionTimeout: c.ElectionTimeout,
 		Recorder: &recorder.Recorder{Disk: recorder.Folder{Path: filepath.Join(c.DataFolder, name)}},
 	}}
 }
--- a/process/controller/document.go
+++ b/process/controller/document.go
@@ -20,13 +20,13 @@
 	Content parser.Content
 }
 
-// Confirmed returns a state that holds everything accepted before the call, or
-// an error of KindNoLeader.
+// Confirmed returns a state that holds everything accepted before the call. It
+// waits for a leader until ctx ends, then gives an error of KindNoLeader.
 func (c *Controller) Confirmed(ctx context.Context) (applier.State, error) {
 	if !c.ready.Load() {
 		return applier.State{}, &Error{"confirm", KindNoLeader, errors.New("this control host has not joined yet")}
 	}
-	if err := c.confirm[configPlace].wait(ctx); err != nil {
+	if err := c.confirmSoon(ctx, operatorTimeout); err != nil {
 		return applier.State{}, err
 	}
 	return c.state.State(), nil
--- a/process/controller/methods.go
+++ b/process/controller/methods.go
@@ -20,6 +20,8 @@
 	// settleTime lets changes that come close together reach a node as one
 	// update: in a herd's restart every node's targets are news to all others.
 	settleTime = 50 * time.Millisecond
+	// syncConfirmWait lets a node's call wait for the end of an election.
+	syncConfirmWait = 400 * time.Millisecond
 )
 
 // nodeMethods are what nodes may call. On connections of other control hosts,
@@ -39,7 +41,7 @@
 	defer cancel()
 	// The confirmation must begin after the node's call, or this host could be
 	// one that a partition has left behind.
-	if err := c.confirm[configPlace].wait(ctx); err != nil {
+	if err := c.confirmSoon(ctx, syncConfirmWait); err != nil {
 		return nil
 	}
 	reply.Confirmed = true
@@ -61,6 +63,18 @@
 	}
 }
 
+// confirmSoon confirms the state, trying again for a while without a leader.
+func (c *Controller) confirmSoon(ctx context.Context, limit time.Duration) error {
+	until := time.Now().Add(limit)
+	for {
+		err := c.confirm[configPlace].wait(ctx)
+		if err == nil || ctx.Err() != nil || time.Now().After(until) {
+			return err
+		}
+		sleeper.Sleep(ctx, 2*tick)
+	}
+}
+
 // awaitChange reports whether the state changed within a time.
 func awaitChange(ctx context.Context, changed <-chan struct{}, limit time.Duration) bool {
 	wait, cancel := context.WithTimeout(ctx, limit)
--- a/process/subscriber/subscriber.go
+++ b/process/subscriber/subscriber.go
@@ -46,6 +46,8 @@
 	expireInterval = 500 * time.Millisecond
 	firstBackoff   = 50 * time.Millisecond
 	maxBackoff     = 2 * time.Second
+	// unreadyBackoff bounds the pause of a node that has no configuration yet.
+	unreadyBackoff = 150 * time.Millisecond
 	// startSpread spreads the first calls of nodes over the control hosts.
 	startSpread = 1 << 16
 )
@@ -152,10 +154,19 @@
 		s.setConnected(false, address)
 		next++
 		address = s.Hosts.At(next)
-		sleeper.Sleep(ctx, pause.NextBackOff())
+		sleeper.Sleep(ctx, s.syncPause(pause))
 	}
 }
 
+// syncPause is short while the node cannot serve at all.
+func (s *Subscriber) syncPause(b *backoff.ExponentialBackOff) time.Duration {
+	pause := b.NextBackOff()
+	if !s.Ready() {
+		return min(pause, unreadyBackoff)
+	}
+	return pause
+}
+
 func newBackoff() *backoff.ExponentialBackOff {
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval, b.MaxInterval = firstBackoff, maxBackoff
