Moves of seconds take a short ladder, judged by evidence that arrives at once

Nodes reported each 0.7 s and followers passed it on each second; where the old version failed too, 5 points of excess took 8 s to show (47 of 84 requests against 114 of 984). Change: five stages with their places in moves below a minute, the last at full share so that the old version's work ends; no targets, no first stage; such a move is not taken back after its end. Nodes report every 200 ms during a move, followers pass evidence on within 50 ms, decisions each 250 ms. A second test looks for 30 points of excess over the old rate as high as its evidence allows. The second test alone took back a version that fails like the old one (TestFaultOfBothIsNobodys red), hence the doubt of two standard errors.

--- a/connection/registrar/registrar.go
+++ b/connection/registrar/registrar.go
@@ -82,13 +82,16 @@
 	// known; 0 means that the target does not count them.
 	Sequence uint64 `json:"sequence"`
 	Leaving  bool   `json:"leaving"` // Leaving means that the target takes no new work.
+	// ColdUntil is when the target no longer is slow from its start; nil means
+	// that it does not say.
+	ColdUntil *time.Time `json:"coldUntil"`
 }
 
 // sameTarget reports whether two announcements describe the same life in the
 // same way.
 func (a Announcement) sameTarget(o Announcement) bool {
-	a.Sequence, a.Leaving = 0, false
-	o.Sequence, o.Leaving = 0, false
+	a.Sequence, a.Leaving, a.ColdUntil = 0, false, nil
+	o.Sequence, o.Leaving, o.ColdUntil = 0, false, nil
 	return a == o
 }
 
@@ -128,6 +131,7 @@
 	leaving   bool
 	served    atomic.Int64
 	crashed   atomic.Bool
+	coldUntil atomic.Pointer[time.Time]
 
 	mu    sync.Mutex
 	usual map[string]time.Duration // usual holds the moving average of latencies by route.
@@ -177,6 +181,9 @@
 // Cold counts one answer and reports whether the target is so new that its
 // latency says nothing yet.
 func (t *Target) Cold() bool {
+	if until := t.coldUntil.Load(); until != nil {
+		return time.Now().Before(*until)
+	}
 	return t.served.Add(1) <= coldRequests || time.Since(time.UnixMilli(t.StartedAt)) < coldTime
 }
 
@@ -211,6 +218,7 @@
 		// A renewal crossed the target's own leave on the way.
 	case old != nil && old.sameTarget(a):
 		old.Sequence, old.expiresAt = a.Sequence, r.now().Add(LeaseTime)
+		old.coldUntil.Store(a.ColdUntil)
 	default:
 		if old != nil {
 			old.Limiter.Close()
@@ -258,12 +266,14 @@
 	if queue == 0 {
 		queue = parser.DefaultQueue
 	}
-	r.targets[a.Target] = &Target{
+	t := &Target{
 		Announcement: a,
 		Limiter:      &limiter.Limiter{Slots: a.Slots, Queue: queue},
 		Forwarder:    &forwarder.Forwarder{Address: a.Address, Connections: a.Connections},
 		expiresAt:    r.now().Add(LeaseTime),
 	}
+	t.coldUntil.Store(a.ColdUntil)
+	r.targets[a.Target] = t
 	r.signal()
 }
 
--- a/process/controller/decide.go
+++ b/process/controller/decide.go
@@ -16,6 +16,17 @@
 type evidenceBox struct {
 	mu   sync.Mutex
 	list []decider.Evidence
+	news chan struct{} // news is closed when the first evidence after a take comes.
+}
+
+// arrived returns a channel that is closed once there is evidence.
+func (b *evidenceBox) arrived() <-chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.news == nil {
+		b.news = make(chan struct{})
+	}
+	return b.news
 }
 
 func (b *evidenceBox) put(list []decider.Evidence) {
@@ -27,13 +38,21 @@
 	if len(b.list)+len(list) <= maxEvidence {
 		b.list = append(b.list, list...)
 	}
+	if b.news == nil {
+		b.news = make(chan struct{})
+	}
+	select {
+	case <-b.news:
+	default:
+		close(b.news)
+	}
 }
 
 func (b *evidenceBox) take() []decider.Evidence {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	list := b.list
-	b.list = nil
+	b.list, b.news = nil, nil
 	return list
 }
 
--- a/process/controller/nodes.go
+++ b/process/controller/nodes.go
@@ -17,6 +17,7 @@
 	NodeLease = 10 * time.Second
 
 	seenInterval   = time.Second
+	evidenceWindow = 50 * time.Millisecond
 	forgetNodes    = time.Hour
 	maxBatch       = 256
 	announceExpiry = 500 * time.Millisecond
@@ -142,7 +143,13 @@
 func (c *Controller) watchNodes(ctx context.Context) {
 	led := false
 	for ctx.Err() == nil {
-		sleeper.Sleep(ctx, seenInterval)
+		if led {
+			sleeper.Sleep(ctx, seenInterval)
+		} else {
+			// Evidence goes to the leader at once; many pieces share one message.
+			sleeper.SleepOr(ctx, seenInterval, c.evidence.arrived(), nil)
+			sleeper.Sleep(ctx, evidenceWindow)
+		}
 		leads := c.leads()
 		if leads && !led {
 			c.sight.renew()
--- a/process/subscriber/subscriber.go
+++ b/process/subscriber/subscriber.go
@@ -44,8 +44,11 @@
 	syncTimeout    = syncWait + 500*time.Millisecond
 	announceLimit  = 2 * time.Second
 	expireInterval = 500 * time.Millisecond
-	firstBackoff   = 50 * time.Millisecond
-	maxBackoff     = 2 * time.Second
+	// moveWait is how long a call stays open while a move runs, since each call
+	// carries what the node saw of the new version.
+	moveWait     = 200 * time.Millisecond
+	firstBackoff = 50 * time.Millisecond
+	maxBackoff   = 2 * time.Second
 	// unreadyBackoff bounds the pause of a node that has no configuration yet.
 	unreadyBackoff = 150 * time.Millisecond
 	// startSpread spreads the first calls of nodes over the control hosts.
@@ -215,6 +218,9 @@
 	if s.Evidence != nil {
 		args.Report.Evidence = s.Evidence.Take()
 	}
+	if slices.ContainsFunc(s.holding.Traffics, func(t applier.Traffic) bool { return t.Move != nil && t.Move.Running() }) {
+		args.Wait = min(args.Wait, moveWait)
+	}
 	return args
 }
 
--- a/version/decider/decider.go
+++ b/version/decider/decider.go
@@ -42,10 +42,15 @@
 	// share and their evidence must come back.
 	LeastStageTime = 2 * time.Second
 	// DecideInterval is the time between two decisions on a move.
-	DecideInterval = 500 * time.Millisecond
+	DecideInterval = 250 * time.Millisecond
 	// WatchTime is how long a finished move is watched at least.
 	WatchTime = 10 * time.Minute
 
+	// shortMove is the length below which a move takes the short ladder.
+	shortMove = time.Minute
+	// leastShortStage is the shortest time of a stage of the short ladder.
+	leastShortStage = 800 * time.Millisecond
+
 	// usableTime is the part of the time up to the deadline that stages take.
 	usableTime = 0.85
 	// leastPerStage is the number of requests that a stage must see on each route.
@@ -57,19 +62,59 @@
 	slotUse = 0.7
 )
 
-// stage is one step of the ladder, in basis points.
-type stage struct{ share, unsafeShare int }
+// stage is one step of a ladder. Shares are in basis points; end is the part
+// of the move's usable time at which the stage ends.
+type stage struct {
+	share, unsafeShare int
+	end                float64
+}
 
-// ladder is the way of every move. In its first half, shares stay below 5% of
-// all requests and 1% of those that are not idempotent, so that a version
-// whose fault is there from the beginning never gets more.
-var ladder = []stage{
-	{50, 0}, {100, 10}, {200, 25}, {300, 50}, {450, 90},
-	{1000, 150}, {2500, 300}, {5000, 1500}, {7500, 4000}, {applier.FullShare, 7000}, {applier.FullShare, applier.FullShare},
+// ladder is the way of a move.
+type ladder struct {
+	stages    []stage
+	firstHalf int // firstHalf is the number of stages with small shares.
+	leastTime time.Duration
+	watched   bool // watched means that a finished move is still taken back.
 }
 
-// firstHalf is the number of stages with the small shares.
-const firstHalf = 5
+// longLadder is for moves of a minute or more. In its first half, shares stay
+// below 5% of all requests and 1% of those that are not idempotent, so that a
+// version whose fault is there from the beginning never gets more.
+var longLadder = ladder{
+	stages: evenly([]stage{
+		{share: 50}, {share: 100, unsafeShare: 10}, {share: 200, unsafeShare: 25}, {share: 300, unsafeShare: 50}, {share: 450, unsafeShare: 90},
+		{share: 1000, unsafeShare: 150}, {share: 2500, unsafeShare: 300}, {share: 5000, unsafeShare: 1500}, {share: 7500, unsafeShare: 4000},
+		{share: applier.FullShare, unsafeShare: 7000}, {share: applier.FullShare, unsafeShare: applier.FullShare},
+	}),
+	firstHalf: 5, leastTime: LeastStageTime, watched: true,
+}
+
+// shortLadder is for moves of seconds. A version that fails from some share on
+// is found before it had a tenth of the requests of the whole move. The last
+// stage lets the old version finish its work, since its targets may end with
+// the move.
+var shortLadder = ladder{
+	stages: []stage{
+		{share: 400, unsafeShare: 150, end: 0.36}, {share: 1000, unsafeShare: 500, end: 0.5}, {share: 2500, unsafeShare: 2000, end: 0.62},
+		{share: 5000, unsafeShare: 5000, end: 0.74}, {share: applier.FullShare, unsafeShare: applier.FullShare, end: 1},
+	},
+	firstHalf: 1, leastTime: leastShortStage,
+}
+
+func evenly(list []stage) []stage {
+	for i := range list {
+		list[i].end = float64(i+1) / float64(len(list))
+	}
+	return list
+}
+
+// ladderOf returns the way of a move by its length.
+func ladderOf(m applier.Move) ladder {
+	if m.Deadline.Sub(m.BegunAt) < shortMove {
+		return shortLadder
+	}
+	return longLadder
+}
 
 // Capacity is what the targets can do.
 type Capacity struct {
@@ -112,7 +157,10 @@
 	}
 	current := stageOf(m)
 	if current < 0 {
-		return ladderStep(0), true
+		if c.NewSlots == 0 {
+			return p.report(now, m, "no target of the new version has announced itself")
+		}
+		return ladderStep(m, 0), true
 	}
 	if now.Before(p.stageEnd(m, current)) {
 		return Step{}, false
@@ -120,10 +168,10 @@
 	if why := p.hold(m, current); why != "" {
 		return p.report(now, m, why)
 	}
-	if current == len(ladder)-1 {
+	if current == len(ladderOf(m).stages)-1 {
 		return Step{Phase: applier.PhaseDone, Reason: doneReason(now, m)}, true
 	}
-	next := ladderStep(current + 1)
+	next := ladderStep(m, current+1)
 	if limit := p.shareLimit(c); next.Share > limit {
 		return p.report(now, m, fmt.Sprintf("the new version's %d slots carry only %.1f%% of the requests", c.NewSlots, float64(limit)/100))
 	}
@@ -152,6 +200,9 @@
 }
 
 func (p *Plan) takeBack(m applier.Move, c Capacity, f *Finding) (Step, bool) {
+	if !m.Running() && !ladderOf(m).watched {
+		return Step{}, false // The old version's targets ended with the move.
+	}
 	if !m.Running() && (m.Phase != applier.PhaseDone || c.OldLeft == 0) {
 		return Step{}, false
 	}
@@ -165,10 +216,10 @@
 	}
 	// The small shares of the first half are what brings evidence in, so they
 	// grow without it; beyond them caution wants it.
-	if m.Preference == applier.PreferDeadline || current < firstHalf-1 {
+	if m.Preference == applier.PreferDeadline || current < ladderOf(m).firstHalf-1 {
 		return ""
 	}
-	whole := current == firstHalf-1
+	whole := current == ladderOf(m).firstHalf-1
 	if p.detector.Enough(false, leastPerStage, whole) && p.detector.Enough(true, leastUnsafe, whole) {
 		return ""
 	}
@@ -177,8 +228,9 @@
 
 // report tells operators once that the deadline cannot be met.
 func (p *Plan) report(now time.Time, m applier.Move, why string) (Step, bool) {
-	left := len(ladder) - 1 - stageOf(m)
-	late := now.Add(time.Duration(left) * LeastStageTime).After(m.Deadline)
+	l := ladderOf(m)
+	left := len(l.stages) - 1 - stageOf(m)
+	late := now.Add(time.Duration(left) * l.leastTime).After(m.Deadline)
 	if !late || m.Late {
 		return Step{}, false
 	}
@@ -195,7 +247,8 @@
 
 // Feasible says why a deadline cannot be met, or nothing.
 func Feasible(now, deadline time.Time) string {
-	least := time.Duration(float64(time.Duration(len(ladder))*(LeastStageTime+DecideInterval)) / usableTime)
+	l := ladderOf(applier.Move{BegunAt: now, Deadline: deadline})
+	least := time.Duration(float64(time.Duration(len(l.stages))*(l.leastTime+DecideInterval)) / usableTime)
 	if deadline.Sub(now) >= least {
 		return ""
 	}
@@ -206,9 +259,10 @@
 // places in the time up to the deadline, so a move that was held up makes up
 // for it in later stages, down to the shortest time of each.
 func (p *Plan) stageEnd(m applier.Move, current int) time.Time {
+	l := ladderOf(m)
 	usable := float64(m.Deadline.Sub(m.BegunAt)) * usableTime
-	planned := m.BegunAt.Add(time.Duration(usable * float64(current+1) / float64(len(ladder))))
-	if least := p.stageAt.Add(LeastStageTime); planned.Before(least) {
+	planned := m.BegunAt.Add(time.Duration(usable * l.stages[current].end))
+	if least := p.stageAt.Add(l.leastTime); planned.Before(least) {
 		return least
 	}
 	return planned
@@ -217,7 +271,7 @@
 // stageOf returns the stage that a move is in, -1 before the first.
 func stageOf(m applier.Move) int {
 	at := -1
-	for i, s := range ladder {
+	for i, s := range ladderOf(m).stages {
 		if m.Share >= s.share && m.UnsafeShare >= s.unsafeShare {
 			at = i
 		}
@@ -225,8 +279,9 @@
 	return at
 }
 
-func ladderStep(i int) Step {
-	return Step{Share: ladder[i].share, UnsafeShare: ladder[i].unsafeShare, Phase: applier.PhaseRunning}
+func ladderStep(m applier.Move, i int) Step {
+	s := ladderOf(m).stages[i]
+	return Step{Share: s.share, UnsafeShare: s.unsafeShare, Phase: applier.PhaseRunning}
 }
 
 func doneReason(now time.Time, m applier.Move) string {
--- a/version/decider/detector.go
+++ b/version/decider/detector.go
@@ -11,6 +11,12 @@
 	alarmScore = 14.0
 	// failureExcess is the failure rate above the old version's that the test looks for.
 	failureExcess = 0.05
+	// grossExcess finds a version that fails often many times sooner, also where
+	// the old version's own failure rate is high.
+	grossExcess = 0.3
+	// grossDoubt is how many standard errors above its measured rate the old
+	// version's failure rate may be.
+	grossDoubt = 2
 	// failureFloor is the least failure rate that is assumed of the old version.
 	failureFloor = 0.002
 	// slowExcess is the share of slow requests above the old version's that the test looks for.
@@ -30,6 +36,7 @@
 	newStage          uint64 // newStage counts the new version's requests since the stage began.
 	base              baseline
 	failScore, slowed float64
+	grossScore        float64
 }
 
 // Detector tells whether a new target version is worse than the old one,
@@ -92,7 +99,7 @@
 	r.judgeSlowness()
 	r.old, r.new = Tally{}, Tally{}
 	switch {
-	case r.failScore >= alarmScore:
+	case max(r.failScore, r.grossScore) >= alarmScore:
 		return &Finding{Route: name, Detail: fmt.Sprintf("route %s: %d of %d requests to the new version failed, %d of %d to the old one",
 			name, r.newTotal.Failures, r.newTotal.Requests, r.oldTotal.Failures, r.oldTotal.Requests)}
 	case r.slowed >= alarmScore:
@@ -115,7 +122,13 @@
 			p0 = max(p0, window)
 		}
 	}
-	r.failScore = score(r.failScore, min(p0, maxRate), failureExcess, float64(r.new.Failures), float64(r.new.Requests))
+	p0 = min(p0, maxRate)
+	failures, requests := float64(r.new.Failures), float64(r.new.Requests)
+	r.failScore = score(r.failScore, p0, failureExcess, failures, requests)
+	// Few requests of the old version say little, so its rate is taken as high
+	// as they allow.
+	doubt := grossDoubt * math.Sqrt(p0*(1-p0)/max(r.base.requests, 1))
+	r.grossScore = score(r.grossScore, min(p0+doubt, maxRate), grossExcess, failures, requests)
 }
 
 func (r *routeState) judgeSlowness() {
@@ -168,7 +181,7 @@
 // Suspicious reports whether any route is on its way to an alarm.
 func (d *Detector) Suspicious() bool {
 	for _, r := range d.routes {
-		if r.failScore > alarmScore/2 || r.slowed > alarmScore/2 {
+		if max(r.failScore, r.grossScore) > alarmScore/2 || r.slowed > alarmScore/2 {
 			return true
 		}
 	}
