Answers leave before the caller gives up; short moves are judged sooner

Change: the final answer is due 25 ms before the caller's deadline, and the wait for a slot ends early enough to finish; alarms of short moves at 9 in place of 14; stages of 20 and 40 in place of 25 and 50 percent.

--- a/request/receiver/attempt.go
+++ b/request/receiver/attempt.go
@@ -22,6 +22,9 @@
 	// retryShare the part of the usual time.
 	minRetryTime = 5 * time.Millisecond
 	retryShare   = 0.8
+	// answerMargin is the way of an answer to a caller, which counts from when
+	// it sent the request.
+	answerMargin = 25 * time.Millisecond
 	// maxOffers bounds the owners that one request is offered to.
 	maxOffers = 6
 	// leastWait lets a slot that is just being freed be waited for.
@@ -59,8 +62,8 @@
 	key := string(h.Peek(checker.HeaderIdempotencyKey))
 	a := &attempt{x: x, route: route, service: v.Board.Part(route), caller: caller, keyed: key != ""}
 	a.deadline = x.ReceivedAt.Add(route.Timeout.Duration())
-	if !caller.Deadline.IsZero() && caller.Deadline.Before(a.deadline) {
-		a.deadline = caller.Deadline
+	if left := caller.Deadline.Add(-answerMargin); !caller.Deadline.IsZero() && left.Before(a.deadline) {
+		a.deadline = left
 	}
 	a.aim = x.ReceivedAt.Add(route.AimTime())
 	a.unsafe = route.NonIdempotent || (!route.Idempotent && (h.IsPost() || string(h.Method()) == fasthttp.MethodPatch))
@@ -157,8 +160,8 @@
 	if least := now.Add(leastWait); least.After(till) {
 		till = least
 	}
-	if till.After(a.deadline) {
-		return a.deadline
+	if last := a.deadline.Add(-c.Usual); till.After(last) {
+		return last
 	}
 	return till
 }
--- a/version/decider/decider.go
+++ b/version/decider/decider.go
@@ -74,6 +74,7 @@
 	stages    []stage
 	firstHalf int // firstHalf is the number of stages with small shares.
 	leastTime time.Duration
+	alarm     float64
 	watched   bool // watched means that a finished move is still taken back.
 }
 
@@ -86,7 +87,7 @@
 		{share: 1000, unsafeShare: 150}, {share: 2500, unsafeShare: 300}, {share: 5000, unsafeShare: 1500}, {share: 7500, unsafeShare: 4000},
 		{share: applier.FullShare, unsafeShare: 7000}, {share: applier.FullShare, unsafeShare: applier.FullShare},
 	}),
-	firstHalf: 5, leastTime: LeastStageTime, watched: true,
+	firstHalf: 5, leastTime: LeastStageTime, alarm: LongAlarm, watched: true,
 }
 
 // shortLadder is for moves of seconds. A version that fails from some share on
@@ -95,10 +96,10 @@
 // the move.
 var shortLadder = ladder{
 	stages: []stage{
-		{share: 400, unsafeShare: 150, end: 0.36}, {share: 1000, unsafeShare: 500, end: 0.5}, {share: 2500, unsafeShare: 2000, end: 0.62},
-		{share: 5000, unsafeShare: 5000, end: 0.74}, {share: applier.FullShare, unsafeShare: applier.FullShare, end: 1},
+		{share: 400, unsafeShare: 150, end: 0.36}, {share: 1000, unsafeShare: 500, end: 0.5}, {share: 2000, unsafeShare: 1500, end: 0.62},
+		{share: 4000, unsafeShare: 4000, end: 0.76}, {share: applier.FullShare, unsafeShare: applier.FullShare, end: 1},
 	},
-	firstHalf: 1, leastTime: leastShortStage,
+	firstHalf: 1, leastTime: leastShortStage, alarm: ShortAlarm,
 }
 
 func evenly(list []stage) []stage {
@@ -116,6 +117,9 @@
 	return longLadder
 }
 
+// AlarmOf returns the score at which the new version of a move counts as bad.
+func AlarmOf(m applier.Move) float64 { return ladderOf(m).alarm }
+
 // Capacity is what the targets can do.
 type Capacity struct {
 	NewSlots int // NewSlots is the number of slots of the new version's targets.
@@ -147,6 +151,7 @@
 
 // Next ends the open window and returns the next step, if there is one.
 func (p *Plan) Next(now time.Time, m applier.Move, c Capacity) (Step, bool) {
+	p.detector.Alarm = AlarmOf(m)
 	p.follow(now, m)
 	p.measure(now)
 	if f := p.detector.Close(); f != nil {
--- a/version/decider/detector.go
+++ b/version/decider/detector.go
@@ -6,9 +6,12 @@
 )
 
 const (
-	// alarmScore is the log likelihood ratio at which a version counts as bad.
-	// A cumulative sum reaches it by chance about once in exp(alarmScore) excursions.
-	alarmScore = 14.0
+	// LongAlarm is the log likelihood ratio at which a version counts as bad.
+	// A cumulative sum reaches it by chance about once in exp(LongAlarm) excursions.
+	LongAlarm = 14.0
+	// ShortAlarm is that of moves of seconds: there are fewer windows for chance,
+	// and less time to find a bad version in.
+	ShortAlarm = 9.0
 	// failureExcess is the failure rate above the old version's that the test looks for.
 	failureExcess = 0.05
 	// grossExcess finds a version that fails often many times sooner, also where
@@ -45,9 +48,18 @@
 // below zero, so a version that goes bad late is found as fast as one that is
 // bad at once. It is not safe for concurrent use.
 type Detector struct {
+	Alarm float64 // Alarm is the score at which a version counts as bad; LongAlarm when zero.
+
 	routes map[string]*routeState
 }
 
+func (d *Detector) alarm() float64 {
+	if d.Alarm == 0 {
+		return LongAlarm
+	}
+	return d.Alarm
+}
+
 // Add takes evidence into the open window.
 func (d *Detector) Add(e Evidence) {
 	r := d.route(e.Route, e.Unsafe)
@@ -81,14 +93,14 @@
 func (d *Detector) Close() *Finding {
 	var worst *Finding
 	for name, r := range d.routes {
-		if f := r.close(name); f != nil && (worst == nil || f.Route < worst.Route) {
+		if f := r.close(name, d.alarm()); f != nil && (worst == nil || f.Route < worst.Route) {
 			worst = f
 		}
 	}
 	return worst
 }
 
-func (r *routeState) close(name string) *Finding {
+func (r *routeState) close(name string, alarm float64) *Finding {
 	// The old version's requests of this window count before the new one's
 	// are judged: a fault that hits both is nobody's.
 	r.base.add(r.old)
@@ -99,10 +111,10 @@
 	r.judgeSlowness()
 	r.old, r.new = Tally{}, Tally{}
 	switch {
-	case max(r.failScore, r.grossScore) >= alarmScore:
+	case max(r.failScore, r.grossScore) >= alarm:
 		return &Finding{Route: name, Detail: fmt.Sprintf("route %s: %d of %d requests to the new version failed, %d of %d to the old one",
 			name, r.newTotal.Failures, r.newTotal.Requests, r.oldTotal.Failures, r.oldTotal.Requests)}
-	case r.slowed >= alarmScore:
+	case r.slowed >= alarm:
 		return &Finding{Route: name, Detail: fmt.Sprintf("route %s: the new version takes %.1f ms on average, the old one %.1f ms",
 			name, r.newTotal.meanMillis(), r.oldTotal.meanMillis())}
 	}
@@ -181,7 +193,7 @@
 // Suspicious reports whether any route is on its way to an alarm.
 func (d *Detector) Suspicious() bool {
 	for _, r := range d.routes {
-		if max(r.failScore, r.grossScore) > alarmScore/2 || r.slowed > alarmScore/2 {
+		if max(r.failScore, r.grossScore, r.slowed) > d.alarm()/2 {
 			return true
 		}
 	}
