--- a/stand/starter/starter.go
+++ b/stand/starter/starter.go
@@ -21,6 +21,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -44,7 +45,27 @@
 	cmd   *exec.Cmd
 	done  chan struct{}
 	err   error
-	log   *bytes.Buffer
+	log   *output
+}
+
+// output keeps what a process prints.
+type output struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.b.Write(p)
+}
+
+// String returns what was printed so far.
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.b.String()
 }
 
 // Control is a control host.
@@ -272,7 +293,7 @@
 }
 
 func (p *Process) start(cmd *exec.Cmd) error {
-	p.log = &bytes.Buffer{}
+	p.log = &output{}
 	cmd.Stdout, cmd.Stderr = p.log, p.log
 	if err := cmd.Start(); err != nil {
 		return err
@@ -326,7 +347,7 @@
 	}
 }
 
-// Log returns what the process has printed; it is complete once it has ended.
+// Log returns what the process has printed so far.
 func (p *Process) Log() string { return p.log.String() }
 
 // Stop ends every process that still runs, targets first.
