Owner nodes sign for requests; silent ones are left for longer each time

Change: an owner sends an interim answer at once; without it within 150 ms an idempotent request is offered elsewhere, another is waited for, and in both cases the endpoint is avoided, twice as long after each further failure; a dial may take 250 in place of 500 ms.

--- a/request/executor/executor.go
+++ b/request/executor/executor.go
@@ -23,6 +23,7 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
@@ -109,7 +110,10 @@
 	return x.inFlight
 }
 
-// Handle serves a request from another node.
+var interimFailures = metrics.NewCounter("hornbeam_interim_failures_total")
+
+// Handle serves a request from another node. It signs for the request at once,
+// so that the entry node can tell a busy owner from a lost one.
 func (x *Executor) Handle(ex *acceptor.Exchange) {
 	h := &ex.Request.Header
 	o, err := DecodeOrder(string(h.Peek(checker.HeaderOrder)), time.Now())
@@ -118,6 +122,10 @@
 		return
 	}
 	h.Del(checker.HeaderOrder)
+	if err := ex.Interim(); err != nil {
+		// The entry node is gone; Execute notices it by the context.
+		interimFailures.Inc()
+	}
 	report := x.Execute(ex.Context(), &ex.Request, &ex.Response, o, func() {})
 	WriteReport(&ex.Response.Header, report)
 	ex.Response.Header.Set(checker.HeaderAttempt, o.Attempt)
@@ -272,6 +280,8 @@
 		return translator.ReasonDeadline
 	case forwarder.KindCancelled, forwarder.KindAbandoned:
 		return translator.ReasonHungUp
+	case forwarder.KindSilent:
+		return translator.ReasonSilent
 	}
 	return translator.ReasonBroken
 }
--- a/request/forwarder/forwarder.go
+++ b/request/forwarder/forwarder.go
@@ -39,7 +39,7 @@
 	// MaxAnswer bounds an answer that is not streamed, in bytes.
 	MaxAnswer = 64 << 20
 
-	dialTimeout = 500 * time.Millisecond
+	dialTimeout = 250 * time.Millisecond
 	// defaultIdle is shorter than the usual keep-alive of servers, so that
 	// the server is seldom the one to close.
 	defaultIdle = 4 * time.Second
@@ -73,6 +73,7 @@
 	KindTimeout   Kind = "timeout"
 	KindBroken    Kind = "broken"
 	KindCancelled Kind = "cancelled" // KindCancelled means that the caller hung up while the request was out.
+	KindSilent    Kind = "silent"    // KindSilent means that the peer gave no sign that it has the request.
 	KindAbandoned Kind = "abandoned" // KindAbandoned means that the caller hung up before it was sent.
 )
 
@@ -115,6 +116,9 @@
 type Forwarder struct {
 	Address     string
 	Connections int // Connections bounds the connections.
+	// SignTime is how long a peer that signs for requests by an interim answer
+	// may take for it; 0 means that it does not sign.
+	SignTime time.Duration
 
 	mu   sync.Mutex
 	idle []*link // idle is a stack: the connection used last is used first.
@@ -129,6 +133,12 @@
 	return f.run(ctx, &call{req: req, resp: resp}, deadline)
 }
 
+// DoSigned is Do for a peer that signs. silent is called once when no sign
+// came in time; the request is given up then if it returns true.
+func (f *Forwarder) DoSigned(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, silent func() bool) error {
+	return f.run(ctx, &call{req: req, resp: resp, silent: silent}, deadline)
+}
+
 // Stream sends the request once and lets resp read the answer's body while it
 // is passed on. A body that sends nothing for StallTimeout is cut. done is
 // called once: when the body was passed on, or at once on an error.
@@ -177,13 +187,9 @@
 	} else {
 		go l.send(c, deadline) // The answer may come before the body is out.
 	}
-	select {
-	case err = <-c.done:
+	err, ended := f.await(ctx, c, timer)
+	if ended {
 		return classify(err)
-	case <-timer.C:
-		err = &Error{"do", KindTimeout, errors.New("no whole answer before the deadline")}
-	case <-ctx.Done():
-		err = &Error{"do", KindCancelled, ctx.Err()}
 	}
 	l.close()
 	// The reader may still be filling in the answer.
@@ -193,6 +199,32 @@
 	return err
 }
 
+// await waits for the end of a call. ended is false when the call is given up
+// while its answer may still come.
+func (f *Forwarder) await(ctx context.Context, c *call, timer *time.Timer) (err error, ended bool) {
+	var sign <-chan time.Time
+	if f.SignTime > 0 && c.silent != nil {
+		t := time.NewTimer(f.SignTime)
+		defer t.Stop()
+		sign = t.C
+	}
+	for {
+		select {
+		case err := <-c.done:
+			return err, true
+		case <-timer.C:
+			return &Error{"do", KindTimeout, errors.New("no whole answer before the deadline")}, false
+		case <-ctx.Done():
+			return &Error{"do", KindCancelled, ctx.Err()}, false
+		case <-sign:
+			sign = nil
+			if !c.signed.Load() && c.silent() {
+				return &Error{"do", KindSilent, errors.Errorf("no sign from %s within %s", f.Address, f.SignTime)}, false
+			}
+		}
+	}
+}
+
 // errNotSent means that a connection ended before the request was written.
 var errNotSent = errors.New("the connection ended before the request was sent")
 
--- a/request/forwarder/link.go
+++ b/request/forwarder/link.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,6 +31,9 @@
 	link   *link
 	sent   bool // sent means that bytes of the request may be on their way; link.mu guards it.
 
+	signed atomic.Bool // signed means that the peer has shown that it has the request.
+	silent func() bool // silent, when set, is asked what to do without a sign.
+
 	done chan error // done gets one value: how the answer ended.
 }
 
@@ -158,6 +162,7 @@
 		if err := h.Read(l.br); err != nil {
 			return false, errors.Wrap(err, "read the answer's header")
 		}
+		c.signed.Store(true)
 		if h.StatusCode() >= fasthttp.StatusOK || h.StatusCode() == fasthttp.StatusSwitchingProtocols {
 			break
 		}
--- a/request/receiver/attempt.go
+++ b/request/receiver/attempt.go
@@ -213,7 +213,7 @@
 	if o.Stream && !o.Unsafe {
 		err = v.peer(c.Address).Stream(a.x.Context(), req, resp, o.Deadline.Add(ownerGrace), done)
 	} else {
-		err = v.peer(c.Address).Do(a.x.Context(), req, resp, o.Deadline.Add(ownerGrace))
+		err = v.peer(c.Address).DoSigned(a.x.Context(), req, resp, o.Deadline.Add(ownerGrace), func() bool { return v.silent(a, c) })
 		done()
 	}
 	if err != nil {
@@ -227,6 +227,13 @@
 	return executor.ReadReport(&resp.Header), ""
 }
 
+// silent notes that an owner gave no sign. A request that may run twice is
+// then offered elsewhere; another is waited for, since it may be running.
+func (v *Receiver) silent(a *attempt, c router.Choice) bool {
+	v.Board.Penalise(c.EndpointKey)
+	return !a.unsafe && a.arrivals < a.route.Retries
+}
+
 // end writes the final answer.
 func (v *Receiver) end(a *attempt, r translator.Report, detail string) translator.Report {
 	if r.Outcome == forwarder.OutcomeRan {
--- a/request/receiver/receiver.go
+++ b/request/receiver/receiver.go
@@ -42,6 +42,9 @@
 	// ownerGrace is the time that the owner's own answer at the deadline takes to arrive.
 	ownerGrace = 100 * time.Millisecond
 	maxPeers   = 4096
+	// signTime is how long an owner node may take to sign for a request; it is
+	// many times the way between data centres.
+	signTime = 150 * time.Millisecond
 )
 
 // TableProvider gives the table in force.
@@ -197,7 +200,7 @@
 	if v.peers == nil || len(v.peers) >= maxPeers {
 		v.peers = map[string]*forwarder.Forwarder{}
 	}
-	f := &forwarder.Forwarder{Address: address, Connections: peerConnections}
+	f := &forwarder.Forwarder{Address: address, Connections: peerConnections, SignTime: signTime}
 	v.peers[address] = f
 	return f
 }
--- a/request/router/router.go
+++ b/request/router/router.go
@@ -37,8 +37,12 @@
 )
 
 const (
-	// PenaltyTime is how long an endpoint that could not take work is avoided.
-	PenaltyTime = time.Second
+	// PenaltyTime is how long an endpoint that could not take work is avoided,
+	// at first; it doubles with each further failure.
+	PenaltyTime  = 500 * time.Millisecond
+	mostFailures = 4
+	// penaltyCost lets a penalised endpoint be picked only where none else is left.
+	penaltyCost = 10 * time.Second
 
 	maxIdleEntries = 4096
 	// farCost is what a way to another data centre adds, there and back.
@@ -101,6 +105,7 @@
 	others       float64              // others is the number of requests there that this node did not send.
 	saidAt       time.Time            // saidAt is when the owner said so.
 	penalisedTil time.Time            // penalisedTil is the deadline before which the endpoint is avoided.
+	failures     int                  // failures counts what went wrong since the last answer.
 }
 
 // unknownLoad stands for an endpoint that this node has not used yet.
@@ -244,7 +249,7 @@
 	// for what other nodes send meanwhile.
 	cost *= 1 + busyCost*min(busy/slots, 1)
 	if now.Before(l.penalisedTil) {
-		cost += PenaltyTime.Seconds()
+		cost += penaltyCost.Seconds()
 	} else if l.slowness == 0 && len(l.out) == 0 && rand.Float64() < exploreShare {
 		cost = 0
 	}
@@ -292,6 +297,7 @@
 	}
 	b.usual[route] = usual + (latency-usual)/usualWeight
 	l := b.entry(k)
+	l.failures, l.penalisedTil = 0, time.Time{}
 	ratio := min(float64(latency)/float64(max(usual, time.Millisecond)), mostSlowness)
 	if l.slowness == 0 {
 		l.slowness = ratio
@@ -300,11 +306,13 @@
 	l.learnedAt = time.Now()
 }
 
-// Penalise avoids an endpoint for a while.
+// Penalise avoids an endpoint for a while, longer each time until it answers.
 func (b *Board) Penalise(k applier.EndpointKey) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.entry(k).penalisedTil = time.Now().Add(PenaltyTime)
+	l := b.entry(k)
+	l.failures = min(l.failures+1, mostFailures)
+	l.penalisedTil = time.Now().Add(PenaltyTime << (l.failures - 1))
 }
 
 func (b *Board) entry(k applier.EndpointKey) *load {
--- a/request/translator/translator.go
+++ b/request/translator/translator.go
@@ -42,6 +42,7 @@
 	ReasonPoison     Reason = "poison"     // ReasonPoison means that the request has crashed too many targets.
 	ReasonNoRoute    Reason = "noRoute"    // ReasonNoRoute means that the configuration has no route.
 	ReasonNotReady   Reason = "notReady"   // ReasonNotReady means that the node has no confirmed configuration.
+	ReasonSilent     Reason = "silent"     // ReasonSilent means that the owner node gave no sign that it has the request.
 	ReasonStopping   Reason = "stopping"   // ReasonStopping means that the entry node is about to end.
 	ReasonBadRequest Reason = "badRequest" // ReasonBadRequest means that the request is malformed.
 	ReasonHungUp     Reason = "hungUp"     // ReasonHungUp means that the caller went away.
