--- a/commands/daemon_run.go
+++ b/commands/daemon_run.go
@@ -27,9 +27,6 @@
 
 const (
 	traceFlushTimeout = 3 * time.Second
-	// gcPercent lets a node's small heap grow between collections, which would
-	// else come many times a second; the memory limit still bounds it.
-	gcPercent = 300
 )
 
 // runCommand runs the daemon.
@@ -60,7 +57,7 @@
 func runDaemon(ctx context.Context, file string, s configurer.Settings) error {
 	if s.MemoryLimitMB > 0 {
 		debug.SetMemoryLimit(int64(s.MemoryLimitMB) << 20)
-		debug.SetGCPercent(gcPercent)
+		debug.SetGCPercent(s.HeapGrowth)
 	}
 	p, err := build(s)
 	if err != nil {
--- a/process/configurer/configurer.go
+++ b/process/configurer/configurer.go
@@ -39,6 +39,9 @@
 const (
 	// DefaultMemoryLimit is the soft limit of a process that is only a node, in bytes.
 	DefaultMemoryLimit = 128 << 20
+	// DefaultHeapGrowth lets a small heap grow between collections, which would
+	// else come many times a second; the memory limit still bounds it.
+	DefaultHeapGrowth = 800
 	// DefaultDrainTime is how long a stopping node still takes requests while the others learn of it.
 	DefaultDrainTime = 2 * time.Second
 	// DefaultStopTime bounds the wait for requests in flight at a planned stop.
@@ -87,6 +90,7 @@
 	MemoryLimitMB int          `yaml:"memoryLimitMB"`
 	StopTime      decoder.Span `yaml:"stopTime"`
 	HardLimitMB   int          `yaml:"hardLimitMB"` // HardLimitMB is what the host ends the process at; the soft limit then follows from it.
+	HeapGrowth    int          `yaml:"heapGrowth"`  // HeapGrowth is by how many percent the heap grows between collections.
 	Discovery     Discovery    `yaml:"discovery"`
 	Edge          Edge         `yaml:"edge"`
 	Retries       Retries      `yaml:"retries"`
@@ -259,6 +263,12 @@
 	if s.MemoryLimitMB < 0 {
 		c.fail("$.memoryLimitMB", "use a number of megabytes", "memoryLimitMB is %d", s.MemoryLimitMB)
 	}
+	if s.HeapGrowth < 0 {
+		c.fail("$.heapGrowth", "use a number of percent, or leave the key out", "heapGrowth is %d", s.HeapGrowth)
+	}
+	if s.HeapGrowth == 0 {
+		s.HeapGrowth = DefaultHeapGrowth
+	}
 	if s.HardLimitMB > 0 && s.MemoryLimitMB == 0 {
 		s.MemoryLimitMB = int(softPart * float64(s.HardLimitMB))
 	}
