A stopping node's targets stay in use until its callers have left

Nodes and control hosts write lines on targets, stops, leads, expiries and steps of moves, without which the cause could not be read. TestStoppingNodeServesOthersFirst: the target served 0.086 s of the stop before (red), 1.07 s now.

--- a/connection/registrar/registrar.go
+++ b/connection/registrar/registrar.go
@@ -22,6 +22,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
 
 	"github.com/hornbeamrack/hornbeamrack/request/forwarder"
@@ -191,6 +192,7 @@
 type Registrar struct {
 	Queue int              // Queue is the number of requests that may wait for each target; parser.DefaultQueue when zero.
 	Now   func() time.Time // Now is time.Now when nil.
+	Log   *log.Logger      // Log may be nil.
 
 	mu      sync.Mutex
 	targets map[string]*Target
@@ -227,7 +229,7 @@
 		r.put(a)
 	}
 	if a.Leaving {
-		r.stop(r.targets[a.Target])
+		r.stop(r.targets[a.Target], "it drains")
 	}
 	return nil
 }
@@ -253,7 +255,7 @@
 func (r *Registrar) supersede(a Announcement) {
 	for _, t := range r.targets {
 		if t.Target != a.Target && t.Address == a.Address && t.StartedAt != 0 && t.StartedAt < a.StartedAt {
-			r.stop(t)
+			r.stop(t, "a newer target has its address")
 		}
 	}
 }
@@ -274,6 +276,7 @@
 	}
 	t.coldUntil.Store(a.ColdUntil)
 	r.targets[a.Target] = t
+	r.note("target announced", t, "slots", a.Slots, "sequence", a.Sequence)
 	r.signal()
 }
 
@@ -289,7 +292,7 @@
 	if t == nil {
 		return &Error{"leave", KindUnknown, errors.Errorf("no target %q on this host", name)}
 	}
-	r.stop(t)
+	r.stop(t, "it left")
 	return nil
 }
 
@@ -298,14 +301,22 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, t := range r.targets {
-		r.stop(t)
+		r.stop(t, "this node stops")
 	}
 }
 
-func (r *Registrar) stop(t *Target) {
+// note writes a line on a target.
+func (r *Registrar) note(line string, t *Target, fields ...any) {
+	if r.Log != nil {
+		r.Log.Info(line, append([]any{"target", t.Target, "service", t.Service, "targetVersion", t.Version, "address", t.Address, "startedAt", t.StartedAt}, fields...)...)
+	}
+}
+
+func (r *Registrar) stop(t *Target, why string) {
 	if t.leaving {
 		return
 	}
+	r.note("target takes no new work", t, "why", why, "running", t.Limiter.Used(), "busy", t.Limiter.Busy())
 	t.leaving = true
 	t.expiresAt = r.now().Add(LeaseTime)
 	t.Limiter.Close()
@@ -322,7 +333,7 @@
 			continue
 		}
 		if !t.leaving {
-			r.stop(t)
+			r.stop(t, "its lease ran out")
 			continue
 		}
 		if t.Limiter.Used() == 0 {
--- a/process/controller/decide.go
+++ b/process/controller/decide.go
@@ -116,8 +116,9 @@
 		c.Log.Warn("could not advance the move", "move", m.ID, "err", err)
 		return
 	}
-	if r.Outcome == applier.OutcomeAccepted && step.Phase != applier.PhaseRunning {
-		c.Log.Info("move ended", "service", m.Service, "to", m.To, "phase", step.Phase, "reason", step.Reason)
+	if r.Outcome == applier.OutcomeAccepted {
+		c.Log.Info("move step", "service", m.Service, "to", m.To, "phase", step.Phase, "share", step.Share, "unsafeShare", step.UnsafeShare,
+			"version", r.Version, "leftMs", m.Deadline.Sub(now).Milliseconds(), "reason", step.Reason)
 	}
 }
 
--- a/process/controller/nodes.go
+++ b/process/controller/nodes.go
@@ -154,6 +154,10 @@
 		if leads && !led {
 			c.sight.renew()
 		}
+		if leads != led {
+			st := c.members[configPlace].group.Status()
+			c.Log.Info("lead changed", "leads", leads, "term", st.Term, "leader", st.Leader, "commit", st.Commit, "applied", st.Applied, "voters", len(st.Membership.Voters()))
+		}
 		led = leads
 		if leads {
 			c.expireNodes(ctx)
@@ -191,6 +195,7 @@
 	}
 	call, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
+	c.Log.Info("nodes expired", "nodes", dead, "silentFor", NodeLease)
 	if _, err := c.propose(call, applier.ExpireNodes{Nodes: dead, At: time.Now()}); err != nil {
 		c.Log.Warn("could not remove the targets of dead nodes", "nodes", len(dead), "err", err)
 	}
--- a/process/proxier/proxier.go
+++ b/process/proxier/proxier.go
@@ -54,7 +54,11 @@
 	announceTimeout = 5 * time.Second
 	maxAnnounceBody = 16 << 10 // bytes
 	drainCheck      = 20 * time.Millisecond
-	leaveTimeout    = 2 * time.Second
+	leaveTimeout    = time.Second
+	// callerTime and leastCallerTime bound the wait for callers, who look at
+	// the node's readiness each second, to go elsewhere.
+	callerTime      = 2400 * time.Millisecond
+	leastCallerTime = time.Second
 	// stopMargin is kept between the end of a planned stop and its limit.
 	stopMargin = 600 * time.Millisecond
 	// servePart is the part of a planned stop, one in so many, during which new
@@ -131,7 +135,7 @@
 	}
 	p.pool = &messenger.Pool{Preface: messenger.PrefaceNode, MaxFrame: messenger.MaxNodeFrame, Wrap: p.Wrap}
 	client := &messenger.Client{Hosts: p.Hosts, Pool: p.pool}
-	p.registrar = &registrar.Registrar{Queue: n.Queue}
+	p.registrar = &registrar.Registrar{Queue: n.Queue, Log: p.Log}
 	p.observer = &observer.Observer{Tables: &p.keeper}
 	p.quarantiner = &quarantiner.Quarantiner{Tables: &p.keeper, Reports: crashReports{p.Settings.Name, client}}
 	p.executor = &executor.Executor{
@@ -146,7 +150,7 @@
 	p.SetOrigin(p.Settings.Edge.Service)
 	p.subscriber = &subscriber.Subscriber{
 		Node: p.Settings.Name, DataCentre: p.Settings.DataCentre, Address: n.PeerAddress, Hosts: p.Hosts,
-		Keeper: &p.keeper, Registrar: p.registrar, Evidence: p.observer, Client: client, Log: p.Log, Wrap: p.Wrap,
+		Keeper: &p.keeper, Registrar: p.registrar, Evidence: p.observer, Client: client, Log: p.Log, Journal: p.Journal, Wrap: p.Wrap,
 	}
 	p.entry = &acceptor.Server{Handler: p.receiver.Handle, Limits: p.callerLimits}
 	p.peer = &acceptor.Server{Handler: p.executor.Handle, Limits: peerLimits}
@@ -246,30 +250,50 @@
 	}
 }
 
-// drain takes the node's targets out of every table and serves on until the
-// callers have gone elsewhere and no request is in flight.
+// drain lets the callers go elsewhere first, while the node's targets are
+// still of use to all; then it takes the targets out of every table, and waits
+// until no request is in flight. So a target is out of use for little longer
+// than its node is.
 func (p *Proxier) drain(limit time.Time) {
+	begun := time.Now()
 	p.draining.Store(true)
+	p.Log.Info("planned stop begins", "limit", limit.Format(time.RFC3339Nano), "open", p.entry.Open(), "inFlight", p.executor.InFlight())
 	p.entry.Drain()
-	lastEntry := time.Now().Add(p.Settings.StopTime.Duration() / servePart)
-	until := time.Now().Add(p.Settings.Node.DrainTime.Duration())
+	lastEntry := begun.Add(p.Settings.StopTime.Duration() / servePart)
+	p.awaitCallers(begun, min(callerTime, lastEntry.Sub(begun)))
 	leave, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	if err := p.subscriber.Leave(leave); err != nil {
 		p.Log.Warn("could not tell a control host of the stop; other nodes will notice", "err", err)
 	}
 	// Requests that other nodes send meanwhile are still served.
-	time.Sleep(time.Until(until))
+	time.Sleep(p.Settings.Node.DrainTime.Duration())
 	p.registrar.LeaveAll()
 	busy := func() bool { return p.executor.InFlight() > 0 || p.entry.Open() > 0 }
-	for time.Now().Before(limit) && (busy() || time.Since(p.entry.LastRequest()) < quietTime) {
-		if time.Now().After(lastEntry) {
+	refusing := false
+	for time.Now().Before(limit) && (busy() || !refusing && !p.quiet()) {
+		if !refusing && time.Now().After(lastEntry) {
+			refusing = true
 			p.receiver.Stop()
 		}
 		time.Sleep(drainCheck)
 	}
+	p.Log.Info("planned stop drained", "open", p.entry.Open(), "inFlight", p.executor.InFlight(), "late", !time.Now().Before(limit))
 }
 
+// awaitCallers waits until callers have stopped sending, or the limit.
+func (p *Proxier) awaitCallers(begun time.Time, limit time.Duration) {
+	for elapsed := time.Duration(0); elapsed < limit; elapsed = time.Since(begun) {
+		if elapsed >= leastCallerTime && p.quiet() {
+			return
+		}
+		time.Sleep(drainCheck)
+	}
+}
+
+// quiet reports whether callers seem to have gone elsewhere.
+func (p *Proxier) quiet() bool { return time.Since(p.entry.LastRequest()) >= quietTime }
+
 // announceApp serves the targets of this host.
 func (p *Proxier) announceApp() *fiber.App {
 	app := fiber.New(fiber.Config{BodyLimit: maxAnnounceBody, ReadTimeout: announceTimeout, IdleTimeout: time.Minute})
--- a/process/subscriber/subscriber.go
+++ b/process/subscriber/subscriber.go
@@ -27,6 +27,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/sourcegraph/conc"
 
+	"github.com/hornbeamrack/hornbeamrack/common/journaler"
 	"github.com/hornbeamrack/hornbeamrack/common/sleeper"
 	"github.com/hornbeamrack/hornbeamrack/connection/locator"
 	"github.com/hornbeamrack/hornbeamrack/connection/messenger"
@@ -37,6 +38,9 @@
 	"github.com/hornbeamrack/hornbeamrack/version/differ"
 )
 
+// lineApplied is the kind of the lines on updates.
+const lineApplied = "update applied"
+
 const (
 	// syncWait is how long a call stays open; a control host that a partition
 	// has cut off is noticed at the latest after syncTimeout.
@@ -74,6 +78,7 @@
 	Evidence   EvidenceProvider // Evidence may be nil.
 	Client     *messenger.Client
 	Log        *log.Logger
+	Journal    *journaler.Journal // Journal may be nil.
 	Wrap       func(net.Conn) net.Conn
 
 	pool messenger.Pool
@@ -258,6 +263,10 @@
 	s.holding, s.resync = next, false
 	s.have = differ.Have{Version: u.Version, Digest: u.Digest, Revision: u.Revision, EndpointsHash: u.EndpointsHash}
 	updatesTotal.Inc()
+	if s.Journal.Allowed(lineApplied) {
+		s.Journal.Info(lineApplied, "configVersion", u.Version, "from", have.Version, "revision", u.Revision, "sections", len(u.Sections),
+			"endpoints", len(u.Endpoints), "gone", len(u.Gone), "total", len(next.Endpoints))
+	}
 	close(s.applied)
 	s.applied = make(chan struct{})
 	return nil
--- a/stand/starter/signal_integration_test.go
+++ b/stand/starter/signal_integration_test.go
@@ -1,6 +1,7 @@
 package starter
 
 import (
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -29,3 +30,32 @@
 	is.Equal(l.unknown.Load(), int64(0))
 	is.True(l.ran.Load() > 0)
 }
+
+// TestStoppingNodeServesOthersFirst stops the node beside the only target of a
+// service: other nodes use the target for as long as the node waits for its
+// own callers to leave.
+func TestStoppingNodeServesOthersFirst(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(t, 3)
+	_, err := m.StartTarget(m.Node[1], "only", "lonely", "v1")
+	is.NoErr(err)
+	lonely := strings.Replace(section, "routes:", "  - name: lonely\nroutes:\n  - {path: /lonely, methods: [GET], service: lonely}", 1)
+	is.NoErr(m.Edit("designs", lonely))
+	url := "http://" + m.Node[0].Entry + "/lonely"
+	served := func() bool {
+		status, _, err := Get(url)
+		return err == nil && status == 200
+	}
+	is.NoErr(Await(t.Context(), 10*time.Second, "the target serves", served))
+	begun := time.Now()
+	is.NoErr(m.Node[1].Signal(syscall.SIGTERM))
+	last := begun
+	for m.Node[1].Running() {
+		if served() {
+			last = time.Now()
+		}
+	}
+	t.Logf("the target served for %s of the stop", last.Sub(begun))
+	is.True(last.Sub(begun) >= 900*time.Millisecond)
+	is.NoErr(m.Node[1].Stop())
+}
