--- a/commands/client.go
+++ b/commands/client.go
@@ -41,6 +41,8 @@
 	addMoveCommands(p, &o)
 	addViewCommands(p, &o)
 	addControlCommands(p, &o)
+	mustAdd(p, "explain", "Print what logs say of a request",
+		"Reads log files of any number of processes, or standard input, and prints the lines on one request in order of time.\n\nExample:\n  hornbeamctl explain 77b69775da3cf17d /var/log/hornbeam/*.log", &explainCommand{})
 	mustAdd(p, "token", "Make a team's token",
 		"Prints a new token for a team's operators and the hash for the settings of the control hosts.\n\nExample:\n  hornbeamctl token", &tokenCommand{})
 	return runParser(p, args)
--- a/request/checker/checker.go
+++ b/request/checker/checker.go
@@ -41,6 +41,8 @@
 	HeaderServed = "Hornbeam-Served"
 	// HeaderLoad carries what the owner node says of its target's load.
 	HeaderLoad = "Hornbeam-Load"
+	// HeaderDetail carries why the owner node has no answer of a target.
+	HeaderDetail = "Hornbeam-Detail"
 	// HeaderOrder carries the entry node's order to the owner node.
 	HeaderOrder = "Hornbeam-Order"
 	// HeaderAttempt carries the offer that an owner node answers.
@@ -154,7 +156,7 @@
 	for _, name := range hopByHop {
 		h.Del(name)
 	}
-	for _, name := range []string{HeaderOutcome, HeaderReason, HeaderServed, HeaderOrder, HeaderLoad, HeaderAttempt} {
+	for _, name := range []string{HeaderOutcome, HeaderReason, HeaderServed, HeaderOrder, HeaderLoad, HeaderAttempt, HeaderDetail} {
 		h.Del(name)
 	}
 }
--- a/request/executor/executor.go
+++ b/request/executor/executor.go
@@ -140,6 +140,7 @@
 	report, detail := x.execute(ctx, req, resp, o, done)
 	span.Set("target", o.Target)
 	span.Set("outcome", string(report.Outcome))
+	report.Detail = detail
 	if report.Outcome != forwarder.OutcomeRan {
 		translator.Own{}.WriteRefusal(resp, translator.Refusal{Report: report, Detail: detail})
 	}
--- a/request/executor/report.go
+++ b/request/executor/report.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -18,6 +19,9 @@
 	if r.Reason != translator.ReasonNone {
 		h.Set(checker.HeaderReason, string(r.Reason))
 	}
+	if r.Detail != "" {
+		h.Set(checker.HeaderDetail, url.QueryEscape(r.Detail))
+	}
 	if r.Load.Known {
 		h.Set(checker.HeaderLoad, strconv.Itoa(r.Load.Busy)+";"+strconv.FormatInt(r.Load.Wait.Microseconds(), 10))
 	}
@@ -25,7 +29,10 @@
 
 // ReadReport takes an owner's report out of the headers of its answer.
 func ReadReport(h *fasthttp.ResponseHeader) translator.Report {
+	// A detail that cannot be read leaves the reason to speak for itself.
+	detail, _ := url.QueryUnescape(string(h.Peek(checker.HeaderDetail)))
 	return translator.Report{
+		Detail:  detail,
 		Outcome: forwarder.Outcome(h.Peek(checker.HeaderOutcome)),
 		Reason:  translator.Reason(h.Peek(checker.HeaderReason)),
 		Load:    readLoad(string(h.Peek(checker.HeaderLoad))),
--- a/request/receiver/attempt.go
+++ b/request/receiver/attempt.go
@@ -183,6 +183,9 @@
 		report, detail = v.sendPeer(a, c, o, done)
 	}
 	v.learn(a, c, report, time.Since(now))
+	if detail == "" {
+		detail = report.Detail
+	}
 	return report, detail
 }
 
@@ -245,7 +248,7 @@
 		r = translator.Unknown(r.Reason)
 	}
 	if detail == "" {
-		detail = string(a.x.Response.Body())
+		detail = r.Detail
 	}
 	v.logRefusal(a, r, detail)
 	return v.refuse(a.x, r, detail, retryAt(r, time.Now()))
--- a/request/translator/own.go
+++ b/request/translator/own.go
@@ -51,6 +51,7 @@
 	h.Set(checker.HeaderOutcome, string(r.Outcome))
 	h.Del(checker.HeaderLoad)
 	h.Del(checker.HeaderAttempt)
+	h.Del(checker.HeaderDetail)
 }
 
 func statusOf(r Report) int {
--- a/request/translator/translator.go
+++ b/request/translator/translator.go
@@ -61,6 +61,7 @@
 	Reason   Reason
 	Replayed bool // Replayed means that the answer is the stored one of an earlier attempt.
 	Load     Load
+	Detail   string // Detail says in words why there is no answer of a target.
 }
 
 // NotRun reports a request that did not run.
