A request waits a moment for targets that are about to announce themselves

Change: a request whose targets are all unknown to their own nodes waits up to 300 ms in all, and no longer than its aim, for a newer table; so does one at a node that has none yet.

--- a/request/receiver/attempt.go
+++ b/request/receiver/attempt.go
@@ -37,6 +37,8 @@
 	retrySpread   = 250 * time.Millisecond
 	notReadyPause = 500 * time.Millisecond
 	shedPause     = 20 * time.Millisecond
+	// newsTime is how long a request may wait for a table that is expected soon.
+	newsTime = 300 * time.Millisecond
 	// stoppingPause is about what a process takes to be back.
 	stoppingPause = 800 * time.Millisecond
 )
@@ -44,6 +46,7 @@
 // attempt is the state of one request while endpoints are tried.
 type attempt struct {
 	x        *acceptor.Exchange
+	table    *compiler.Table // table is the one that the endpoints come from.
 	route    *compiler.Route
 	service  *compiler.Service
 	caller   translator.Caller
@@ -53,14 +56,15 @@
 	keyed    bool
 	version  string
 	tried    []applier.EndpointKey
-	arrivals int  // arrivals counts what may have reached targets.
-	mayRan   bool // mayRan means that an earlier endpoint may have run the request.
+	arrivals int       // arrivals counts what may have reached targets.
+	newsTill time.Time // newsTill is until when newer tables are waited for, zero before the first wait.
+	mayRan   bool      // mayRan means that an earlier endpoint may have run the request.
 }
 
 func (v *Receiver) newAttempt(x *acceptor.Exchange, table *compiler.Table, route *compiler.Route, caller translator.Caller) *attempt {
 	h := &x.Request.Header
 	key := string(h.Peek(checker.HeaderIdempotencyKey))
-	a := &attempt{x: x, route: route, service: v.Board.Part(route), caller: caller, keyed: key != ""}
+	a := &attempt{x: x, table: table, route: route, service: v.Board.Part(route), caller: caller, keyed: key != ""}
 	a.deadline = x.ReceivedAt.Add(route.Timeout.Duration())
 	if left := caller.Deadline.Add(-answerMargin); !caller.Deadline.IsZero() && left.Before(a.deadline) {
 		a.deadline = left
@@ -86,6 +90,12 @@
 	}
 	report, detail := translator.NotRun(translator.ReasonNoTarget), "no target runs this service"
 	for n := 0; n < maxOffers; n++ {
+		if n > 0 && report.Reason == translator.ReasonNoTarget && v.exhausted(a) {
+			if !v.refresh(a) {
+				break
+			}
+			n = 0
+		}
 		c, ok := v.Board.Pick(router.Query{Service: a.service, Version: a.version, Route: a.routeName(), Tried: a.tried, Bulk: a.route.Bulk || a.route.Stream})
 		if !ok || (n > 0 && time.Until(a.deadline) < time.Duration(retryShare*float64(c.Usual))) {
 			break
@@ -108,6 +118,32 @@
 	return v.end(a, report, detail)
 }
 
+// exhausted reports whether every endpoint of the table was tried.
+func (v *Receiver) exhausted(a *attempt) bool {
+	_, ok := v.Board.Pick(router.Query{Service: a.service, Version: a.version, Route: a.routeName(), Tried: a.tried})
+	return !ok
+}
+
+// refresh waits for a newer table when no target that the table names is known
+// to its own node any more: after a restart of all, targets announce themselves
+// within moments. All waits of one request together are short.
+func (v *Receiver) refresh(a *attempt) bool {
+	if a.newsTill.IsZero() {
+		a.newsTill = time.Now().Add(newsTime)
+		if a.aim.Before(a.newsTill) {
+			a.newsTill = a.aim
+		}
+	}
+	if !v.awaitNews(a.x, a.table, a.newsTill) {
+		return false
+	}
+	a.table = v.Tables.Table()
+	if s := a.table.Service(a.service.Name); s != nil {
+		a.service, a.tried = s, nil
+	}
+	return true
+}
+
 // routeName identifies the route in what nodes learn of it.
 func (a *attempt) routeName() string { return a.route.Host + a.route.Path }
 
--- a/request/receiver/receiver.go
+++ b/request/receiver/receiver.go
@@ -50,6 +50,8 @@
 // TableProvider gives the table in force.
 type TableProvider interface {
 	Table() *compiler.Table
+	// Newer returns a channel that is closed once another table is in force.
+	Newer(t *compiler.Table) <-chan struct{}
 }
 
 // BrakeProvider judges moves by this node's own evidence.
@@ -152,6 +154,9 @@
 		return v.refuse(x, translator.NotRun(translator.ReasonStopping), "this node is stopping", x.ReceivedAt.Add(stoppingPause))
 	}
 	table := v.Tables.Table()
+	if table == nil && v.awaitNews(x, nil, x.ReceivedAt.Add(newsTime)) {
+		table = v.Tables.Table()
+	}
 	if table == nil {
 		return v.refuse(x, translator.NotRun(translator.ReasonNotReady), "this node has no confirmed configuration yet", x.ReceivedAt.Add(notReadyPause))
 	}
@@ -177,6 +182,21 @@
 	return v.try(a)
 }
 
+// awaitNews waits for a newer table than the one a request was placed by. It is
+// false when none came in time or the caller hung up.
+func (v *Receiver) awaitNews(x *acceptor.Exchange, old *compiler.Table, till time.Time) bool {
+	timer := time.NewTimer(time.Until(till))
+	defer timer.Stop()
+	select {
+	case <-v.Tables.Newer(old):
+		return true
+	case <-timer.C:
+		return false
+	case <-x.Context().Done():
+		return false
+	}
+}
+
 // requestID is unique over all nodes and their lives: the random part is drawn
 // once, the rest counts.
 func (v *Receiver) requestID() string {
--- a/version/compiler/compiler.go
+++ b/version/compiler/compiler.go
@@ -21,6 +21,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -282,8 +283,30 @@
 // Keeper holds the table in force.
 type Keeper struct {
 	table atomic.Pointer[Table]
+
+	mu      sync.Mutex
+	changed chan struct{} // changed is closed when the next table is in force.
 }
 
+// Newer returns a channel that is closed once another table than t is in force.
+func (k *Keeper) Newer(t *Table) <-chan struct{} {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.table.Load() != t {
+		return closed
+	}
+	if k.changed == nil {
+		k.changed = make(chan struct{})
+	}
+	return k.changed
+}
+
+var closed = func() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
 // Table returns the table in force, nil before the first.
 func (k *Keeper) Table() *Table { return k.table.Load() }
 
@@ -294,6 +317,12 @@
 	if old != nil && t.Version < old.Version {
 		return &Error{"put", KindOlder, errors.Errorf("version %d after %d", t.Version, old.Version)}
 	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	k.table.Store(t)
+	if k.changed != nil {
+		close(k.changed)
+		k.changed = nil
+	}
 	return nil
 }
