--- a/request/router/router.go
+++ b/request/router/router.go
@@ -46,7 +46,7 @@
 
 	maxIdleEntries = 4096
 	// farCost is what a way to another data centre adds, there and back.
-	farCost = 4 * time.Millisecond
+	farCost = 15 * time.Millisecond
 	// farBulkCost stands for the price of carrying a large answer between data centres.
 	farBulkCost = 400 * time.Millisecond
 	// firstUsual is assumed of a target while nothing is known of any.
