--- a/process/proxier/proxier.go
+++ b/process/proxier/proxier.go
@@ -259,6 +259,7 @@
 	p.draining.Store(true)
 	p.Log.Info("planned stop begins", "limit", limit.Format(time.RFC3339Nano), "open", p.entry.Open(), "inFlight", p.executor.InFlight())
 	p.entry.Drain()
+	p.receiver.Drain()
 	lastEntry := begun.Add(p.Settings.StopTime.Duration() / servePart)
 	p.awaitCallers(begun, min(callerTime, lastEntry.Sub(begun)))
 	leave, cancel := context.WithTimeout(context.Background(), leaveTimeout)
--- a/request/receiver/attempt.go
+++ b/request/receiver/attempt.go
@@ -267,10 +267,11 @@
 }
 
 // silent notes that an owner gave no sign. A request that may run twice is
-// then offered elsewhere; another is waited for, since it may be running.
+// then offered elsewhere; another is waited for, since it may be running. A
+// node that stops waits for both.
 func (v *Receiver) silent(a *attempt, c router.Choice) bool {
 	v.Board.Penalise(c.EndpointKey)
-	return !a.unsafe && a.arrivals < a.route.Retries
+	return !a.unsafe && a.arrivals < a.route.Retries && !v.draining.Load()
 }
 
 // end writes the final answer.
--- a/request/receiver/receiver.go
+++ b/request/receiver/receiver.go
@@ -44,7 +44,7 @@
 	maxPeers   = 4096
 	// signTime is how long an owner node may take to sign for a request; it is
 	// many times the way between data centres.
-	signTime = 150 * time.Millisecond
+	signTime = 200 * time.Millisecond
 )
 
 // TableProvider gives the table in force.
@@ -88,6 +88,7 @@
 	Journal    *journaler.Journal // Journal may be nil.
 
 	origin   atomic.Pointer[string]
+	draining atomic.Bool
 	stopping atomic.Bool
 	inFlight atomic.Int64
 	idOnce   sync.Once
@@ -107,6 +108,10 @@
 	return ""
 }
 
+// Drain tells the receiver that a planned stop has begun: nothing that may be
+// worked on is given up any more, since little time is left to do it again.
+func (v *Receiver) Drain() { v.draining.Store(true) }
+
 // Stop makes the receiver refuse every new request. The process is about to
 // end, and a request that is begun now could not be finished.
 func (v *Receiver) Stop() { v.stopping.Store(true) }
