--- a/commands/daemon_run.go
+++ b/commands/daemon_run.go
@@ -176,7 +176,7 @@
 	if p.control != nil {
 		return (&platform.OperatorEdge{Control: p.control, Address: e.Address, Log: p.log}).Run(ctx)
 	}
-	return (&platform.TargetEdge{Node: p.node, Address: e.Address, ReadinessAddress: e.ReadinessAddress, Log: p.log}).Run(ctx)
+	return (&platform.TargetEdge{Node: p.node, Address: e.Address, ReadyAddress: e.ReadyAddress, Log: p.log}).Run(ctx)
 }
 
 func (p *parts) checks() []reporter.Check {
--- a/process/configurer/configurer.go
+++ b/process/configurer/configurer.go
@@ -116,10 +116,10 @@
 // Edge lets a platform's targets and operators speak to this process in their
 // own way.
 type Edge struct {
-	Adapter          string `yaml:"adapter"`          // Adapter is one of Adapters; empty means the project's own interfaces.
-	Address          string `yaml:"address"`          // Address takes the platform's calls.
-	ReadinessAddress string `yaml:"readinessAddress"` // ReadinessAddress tells the platform whether a node serves.
-	Service          string `yaml:"service"`          // Service is the service of the targets on this host.
+	Adapter      string `yaml:"adapter"`      // Adapter is one of Adapters; empty means the project's own interfaces.
+	Address      string `yaml:"address"`      // Address takes the platform's calls.
+	ReadyAddress string `yaml:"readyAddress"` // ReadyAddress tells the platform whether a node serves.
+	Service      string `yaml:"service"`      // Service is the service of the targets on this host.
 }
 
 // Adapters are the platforms that Edge may name.
@@ -399,7 +399,7 @@
 	if s.Edge.Adapter != "" {
 		places = append(places, place{"$.edge.address", s.Edge.Address})
 		if s.HasRole(RoleNode) {
-			places = append(places, place{"$.edge.readinessAddress", s.Edge.ReadinessAddress})
+			places = append(places, place{"$.edge.readyAddress", s.Edge.ReadyAddress})
 		}
 	}
 	if s.HasRole(RoleControl) {
