--- a/version/decider/decider.go
+++ b/version/decider/decider.go
@@ -96,7 +96,7 @@
 // the move.
 var shortLadder = ladder{
 	stages: []stage{
-		{share: 400, unsafeShare: 150, end: 0.36}, {share: 1000, unsafeShare: 500, end: 0.5}, {share: 2000, unsafeShare: 1500, end: 0.62},
+		{share: 400, unsafeShare: 300, end: 0.36}, {share: 1000, unsafeShare: 900, end: 0.5}, {share: 2000, unsafeShare: 2000, end: 0.62},
 		{share: 4000, unsafeShare: 4000, end: 0.76}, {share: applier.FullShare, unsafeShare: applier.FullShare, end: 1},
 	},
 	firstHalf: 1, leastTime: leastShortStage, alarm: ShortAlarm,
