A cold target that answers too late is no evidence against its version

Change: the owner leaves such timeouts out while the target is cold; an entry node's brake does not judge timeouts at all.

--- a/connection/registrar/registrar.go
+++ b/connection/registrar/registrar.go
@@ -182,10 +182,17 @@
 // Cold counts one answer and reports whether the target is so new that its
 // latency says nothing yet.
 func (t *Target) Cold() bool {
+	t.served.Add(1)
+	return t.IsCold()
+}
+
+// IsCold reports whether the target is so new that its latency says nothing
+// yet: by its own word, else by its age and the number of its answers.
+func (t *Target) IsCold() bool {
 	if until := t.coldUntil.Load(); until != nil {
 		return time.Now().Before(*until)
 	}
-	return t.served.Add(1) <= coldRequests || time.Since(time.UnixMilli(t.StartedAt)) < coldTime
+	return t.served.Load() <= coldRequests || time.Since(time.UnixMilli(t.StartedAt)) < coldTime
 }
 
 // Registrar is safe for concurrent use.
--- a/request/executor/executor.go
+++ b/request/executor/executor.go
@@ -209,7 +209,9 @@
 		return x.crashed(req, resp, t, o, latency)
 	}
 	if err != nil {
-		x.observe(t, o, !hungUp(err), latency)
+		if !(forwarder.IsKind(err, forwarder.KindTimeout) && t.IsCold()) {
+			x.observe(t, o, !hungUp(err), latency)
+		}
 		resp.Reset()
 		return translator.Report{Outcome: forwarder.OutcomeOf(err), Reason: ReasonOf(err), Load: t.Load(slotRequest(t, o))}, err.Error()
 	}
--- a/request/receiver/attempt.go
+++ b/request/receiver/attempt.go
@@ -235,7 +235,7 @@
 		v.Board.Penalise(c.EndpointKey)
 	}
 	m := a.service.Traffic.Move
-	if m == nil || !m.Running() || r.Outcome == forwarder.OutcomeNotRun || r.Replayed || r.Reason == translator.ReasonHeld || r.Reason == translator.ReasonHungUp {
+	if m == nil || !m.Running() || r.Outcome == forwarder.OutcomeNotRun || r.Replayed || saysNothing(r.Reason) {
 		return
 	}
 	evidence := decider.Evidence{MoveID: m.ID, New: c.Version == m.To, Route: a.route.Path, Unsafe: a.unsafe}
@@ -243,6 +243,16 @@
 	v.Brakes.Judge(evidence)
 }
 
+// saysNothing reports whether the end of a request is no evidence on a version
+// that an entry node can judge: the owner knows whether a late target is cold.
+func saysNothing(r translator.Reason) bool {
+	switch r {
+	case translator.ReasonHeld, translator.ReasonHungUp, translator.ReasonDeadline, translator.ReasonSilent:
+		return true
+	}
+	return false
+}
+
 // sendPeer asks another node to carry out the order.
 func (v *Receiver) sendPeer(a *attempt, c router.Choice, o executor.Order, done func()) (translator.Report, string) {
 	req, resp := &a.x.Request, &a.x.Response
