--- a/connection/acceptor/acceptor.go
+++ b/connection/acceptor/acceptor.go
@@ -1,9 +1,9 @@
 // Package acceptor serves HTTP/1.1 connections.
 //
-// Each connection has a goroutine that reads requests and one that writes
-// answers in the order of the requests. So a peer that hangs up is noticed
-// while its request is worked on, also with further requests queued behind,
-// and pipelined requests are worked on side by side.
+// Each connection has a goroutine that reads requests, and each request one that
+// works on it and writes the answer when its turn has come. So a peer that hangs
+// up is noticed while its request is worked on, also with further requests
+// queued behind, and pipelined requests are worked on side by side.
 //
 // Headers and bodies are read and written by fasthttp's codec. Its server is
 // not used: it reads nothing while a handler runs, so it can see neither a
--- a/connection/acceptor/conn.go
+++ b/connection/acceptor/conn.go
@@ -23,9 +23,12 @@
 	server *Server
 	nc     net.Conn
 	br     *bufio.Reader
+	bw     *bufio.Writer // bw belongs to the exchange whose turn it is.
 	ctx    context.Context
 	cancel context.CancelFunc
-	queue  chan *Exchange // queue holds exchanges in the order of their requests.
+	slots  chan struct{} // slots bounds the exchanges that are open.
+	ended  chan struct{} // ended is closed when no further answer is written.
+	work   sync.WaitGroup
 
 	mu      sync.Mutex
 	pending int
@@ -34,22 +37,19 @@
 
 func newConn(s *Server, nc net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &conn{server: s, nc: nc, ctx: ctx, cancel: cancel, queue: make(chan *Exchange, pipelineDepth)}
+	return &conn{
+		server: s, nc: nc, ctx: ctx, cancel: cancel, bw: bufio.NewWriterSize(nc, writeBufferBytes),
+		slots: make(chan struct{}, pipelineDepth), ended: make(chan struct{}),
+	}
 }
 
 // serve reads requests until the peer hangs up or the connection closes.
 func (c *conn) serve() {
 	defer c.server.remove(c)
 	c.br = bufio.NewReaderSize(c.nc, c.server.limits().HeaderBytes)
-	written := make(chan struct{})
-	go func() {
-		defer close(written)
-		c.writeAnswers()
-	}()
 	c.readRequests()
 	c.cancel()
-	close(c.queue)
-	<-written
+	c.work.Wait()
 	_ = c.nc.Close()
 }
 
@@ -70,7 +70,7 @@
 		if !c.awaitRequest() {
 			return
 		}
-		x := &Exchange{conn: c, ctx: c.ctx, turn: turn, next: make(chan struct{}), done: make(chan struct{})}
+		x := &Exchange{conn: c, ctx: c.ctx, turn: turn, next: make(chan struct{})}
 		turn = x.next
 		status, err := c.read(x)
 		if err != nil && status == 0 {
@@ -85,17 +85,14 @@
 		x.ReceivedAt = time.Now()
 		if err != nil {
 			c.server.malformed(&x.Response, status, err.Error())
-			x.closes = true
-			close(x.done)
+			x.closes, x.refused = true, true
 		}
 		last := x.closes
 		if last {
 			_ = c.nc.SetReadDeadline(time.Time{})
 		}
-		c.queue <- x
-		if err == nil {
-			go c.handle(x)
-		}
+		c.slots <- struct{}{}
+		c.work.Go(func() { c.handle(x) })
 		if last {
 			c.awaitHangUp()
 			return
@@ -103,10 +100,20 @@
 	}
 }
 
-// handle runs the handler on one exchange.
+// handle runs the handler on one exchange and writes its answer when its turn
+// has come. Without a pipeline that is at once, with no other goroutine.
 func (c *conn) handle(x *Exchange) {
-	defer close(x.done)
-	c.server.Handler(x)
+	if !x.refused {
+		c.server.Handler(x)
+	}
+	select {
+	case <-x.turn:
+		c.writeAnswer(x)
+	case <-c.ended:
+	}
+	_ = x.Response.CloseBodyStream()
+	c.leave()
+	<-c.slots
 }
 
 // awaitRequest waits for the first byte of a request. It is false when there
@@ -235,35 +242,22 @@
 	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED)
 }
 
-// writeAnswers writes the answers in the order of their requests.
-func (c *conn) writeAnswers() {
-	bw := bufio.NewWriterSize(c.nc, writeBufferBytes)
-	broken := false
-	for x := range c.queue {
-		<-x.done
-		if !broken {
-			broken = !c.writeAnswer(bw, x)
-		}
-		_ = x.Response.CloseBodyStream()
-		c.leave()
-	}
-}
-
-// writeAnswer reports whether the connection goes on.
-func (c *conn) writeAnswer(bw *bufio.Writer, x *Exchange) bool {
+// writeAnswer writes an answer and gives the turn to the next, or ends the
+// connection.
+func (c *conn) writeAnswer(x *Exchange) {
 	last := c.isLast(x)
-	err := x.write(bw, last)
+	err := x.write(c.bw, last)
 	if err == nil && !last {
 		close(x.next)
-		return true
+		return
 	}
+	close(c.ended)
 	c.cancel()
 	if err == nil {
 		c.closeGently()
-		return false
+		return
 	}
 	_ = c.nc.Close()
-	return false
 }
 
 // isLast decides whether the connection ends with this answer: when the peer
--- a/connection/acceptor/exchange.go
+++ b/connection/acceptor/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -17,12 +18,15 @@
 	Response   fasthttp.Response
 	ReceivedAt time.Time // ReceivedAt is when the whole request had been read.
 
-	conn   *conn
-	ctx    context.Context
-	turn   chan struct{} // turn is closed when every earlier answer on the connection is written.
-	next   chan struct{} // next is the turn of the exchange behind this one.
-	done   chan struct{}
-	closes bool // closes means that the connection ends with this answer.
+	conn    *conn
+	ctx     context.Context
+	turn    chan struct{} // turn is closed when every earlier answer on the connection is written.
+	next    chan struct{} // next is the turn of the exchange behind this one.
+	closes  bool          // closes means that the connection ends with this answer.
+	refused bool          // refused means that the request could not be read and Response says so.
+
+	mu      sync.Mutex
+	written bool // written means that no interim answer may be sent any more.
 }
 
 // Context ends when the peer has hung up.
@@ -42,14 +46,29 @@
 // LocalAddr returns the address that the peer connected to.
 func (x *Exchange) LocalAddr() net.Addr { return x.conn.nc.LocalAddr() }
 
-// Interim sends an interim answer, status 102, before the final one. It does
-// nothing while earlier answers are still due on the connection.
-func (x *Exchange) Interim() error {
+// InterimAfter sends an interim answer, status 102, unless the final one is
+// written within d. It sends nothing while earlier answers are still due on the
+// connection. The returned function ends the wait; failed is called with the
+// error of a connection that does not take the bytes.
+func (x *Exchange) InterimAfter(d time.Duration, failed func(error)) (stop func() bool) {
+	return time.AfterFunc(d, func() {
+		if err := x.interim(); err != nil {
+			failed(err)
+		}
+	}).Stop
+}
+
+func (x *Exchange) interim() error {
 	select {
 	case <-x.turn:
 	default:
 		return nil
 	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.written {
+		return nil
+	}
 	if err := x.conn.nc.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
@@ -59,6 +78,9 @@
 
 // write sends the answer. last tells whether the connection ends with it.
 func (x *Exchange) write(bw *bufio.Writer, last bool) error {
+	x.mu.Lock()
+	x.written = true
+	x.mu.Unlock()
 	h := &x.Response.Header
 	if last {
 		h.SetConnectionClose()
--- a/process/proxier/proxier.go
+++ b/process/proxier/proxier.go
@@ -5,9 +5,10 @@
 // the targets of its own host at the announce address, and keeps its table
 // current through a subscriber.
 //
-// A planned stop cuts nothing: the node's targets are taken out of every table
-// first, callers are told to open new connections elsewhere, and only when no
-// request is in flight do the listeners close.
+// A planned stop cuts nothing: the node is not ready at once and asks callers
+// to open new connections elsewhere; when they have left, its targets are taken
+// out of every table; and only when no request is in flight do the listeners
+// close.
 //
 // # Usage
 //
--- a/request/executor/executor.go
+++ b/request/executor/executor.go
@@ -112,8 +112,11 @@
 
 var interimFailures = metrics.NewCounter("hornbeam_interim_failures_total")
 
-// Handle serves a request from another node. It signs for the request at once,
-// so that the entry node can tell a busy owner from a lost one.
+// signAfter spares the sign for requests that are answered at once.
+const signAfter = 20 * time.Millisecond
+
+// Handle serves a request from another node. It signs for the request soon, so
+// that the entry node can tell a busy owner from a lost one.
 func (x *Executor) Handle(ex *acceptor.Exchange) {
 	h := &ex.Request.Header
 	o, err := DecodeOrder(string(h.Peek(checker.HeaderOrder)), time.Now())
@@ -122,10 +125,9 @@
 		return
 	}
 	h.Del(checker.HeaderOrder)
-	if err := ex.Interim(); err != nil {
-		// The entry node is gone; Execute notices it by the context.
-		interimFailures.Inc()
-	}
+	// An entry node that is gone is noticed by the context.
+	stop := ex.InterimAfter(signAfter, func(error) { interimFailures.Inc() })
+	defer stop()
 	report := x.Execute(ex.Context(), &ex.Request, &ex.Response, o, func() {})
 	WriteReport(&ex.Response.Header, report)
 	ex.Response.Header.Set(checker.HeaderAttempt, o.Attempt)
--- a/version/decider/decider.go
+++ b/version/decider/decider.go
@@ -12,14 +12,21 @@
 //     the move goes on while nothing is suspicious; with caution it waits at
 //     the end of the first half and later, and is reported as late once the
 //     deadline cannot be met any more.
+//
 //   - A suspicion, half of what a finding needs, holds the stage in both cases.
+//
 //   - Too few slots at the new version: its share stays at what they carry.
+//
 //   - A finding: the version is taken back at once, also while it is watched
 //     after the move is done, as long as targets of the old version remain.
+//
 //   - Control hosts away: shares stay as they are; each node brakes by itself
 //     when its own evidence is a finding. The next leader goes on from the
 //     stage that the log holds.
 //
+//   - A move of seconds: fewer stages, a lower alarm, and no taking back after
+//     it is done, since the old version's targets end with it.
+//
 // # Usage
 //
 //	p := &decider.Plan{}
