--- a/connection/acceptor/exchange.go
+++ b/connection/acceptor/exchange.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"fmt"
-	"net"
 	"sync"
 	"time"
 
@@ -40,12 +39,6 @@
 // CloseAfter ends the connection with this answer.
 func (x *Exchange) CloseAfter() { x.closes = true }
 
-// RemoteAddr returns the peer's address.
-func (x *Exchange) RemoteAddr() net.Addr { return x.conn.nc.RemoteAddr() }
-
-// LocalAddr returns the address that the peer connected to.
-func (x *Exchange) LocalAddr() net.Addr { return x.conn.nc.LocalAddr() }
-
 // InterimAfter sends an interim answer, status 102, unless the final one is
 // written within d. It sends nothing while earlier answers are still due on the
 // connection. The returned function ends the wait; failed is called with the
