Entries go by the owner's word on how long its target works

Cause: an entry node took a request's latency, less what a new request would wait, for its target's speed. Change: the owner says how long its target works on a route, by its answers or by what is out for long; entries use nothing else.

--- a/connection/registrar/registrar.go
+++ b/connection/registrar/registrar.go
@@ -27,6 +27,7 @@
 
 	"github.com/hornbeamrack/hornbeamrack/request/forwarder"
 	"github.com/hornbeamrack/hornbeamrack/request/limiter"
+	"github.com/hornbeamrack/hornbeamrack/request/tracker"
 	"github.com/hornbeamrack/hornbeamrack/request/translator"
 	"github.com/hornbeamrack/hornbeamrack/version/parser"
 )
@@ -134,8 +135,22 @@
 	crashed   atomic.Bool
 	coldUntil atomic.Pointer[time.Time]
 
-	mu    sync.Mutex
-	usual map[string]time.Duration // usual holds the moving average of latencies by route.
+	mu      sync.Mutex
+	usual   map[string]time.Duration // usual holds the moving average of latencies by route.
+	flights tracker.Flights
+}
+
+// Begin notes a request that is handed to the target; the returned function
+// notes its end.
+func (t *Target) Begin() (end func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	id := t.flights.Begin(time.Now())
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.flights.End(id)
+	}
 }
 
 // Served takes in how long the target worked on a request of a route.
@@ -153,17 +168,17 @@
 	t.usual[route] = old + (latency-old)/latencyWeight
 }
 
-// Usual returns how long the target usually works on a request of a route, 0
-// while nothing is known.
-func (t *Target) Usual(route string) time.Duration {
+// Work returns how long the target is expected to work on a request of a route,
+// 0 while nothing is known: by its answers, or by what it has not answered yet.
+func (t *Target) Work(route string) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.usual[route]
+	return max(t.usual[route], t.flights.LeastWork(time.Now()))
 }
 
 // Load describes how busy the target is for a further request like r.
 func (t *Target) Load(r limiter.Request) translator.Load {
-	return translator.Load{Known: true, Busy: t.Limiter.Busy(), Wait: t.Limiter.Wait(r)}
+	return translator.Load{Known: true, Busy: t.Limiter.Busy(), Wait: t.Limiter.Wait(r), Work: r.Work}
 }
 
 // Alive reports whether the target still accepts connections.
--- a/request/executor/executor.go
+++ b/request/executor/executor.go
@@ -180,7 +180,7 @@
 
 // slotRequest describes an order to the target's limiter.
 func slotRequest(t *registrar.Target, o Order) limiter.Request {
-	return limiter.Request{Rank: o.Rank, Work: t.Usual(o.Route), Aim: o.Aim, WaitTill: o.WaitTill}
+	return limiter.Request{Rank: o.Rank, Work: t.Work(o.Route), Aim: o.Aim, WaitTill: o.WaitTill}
 }
 
 // limitReason tells a target that leaves from one that is busy.
@@ -205,7 +205,9 @@
 	checker.StripRequest(&req.Header)
 	x.Translator.WriteRequest(&req.Header, translator.HandOver{RequestID: o.RequestID, Target: t.Target, Origin: o.Origin, Deadline: o.Deadline})
 	start := time.Now()
+	end := t.Begin()
 	err := send()
+	end()
 	latency := time.Since(start)
 	if broken(err) && !t.Alive() {
 		return x.crashed(req, resp, t, o, latency)
--- a/request/executor/report.go
+++ b/request/executor/report.go
@@ -13,6 +13,9 @@
 	"github.com/hornbeamrack/hornbeamrack/request/translator"
 )
 
+// loadFields is the number of fields of a load header.
+const loadFields = 3
+
 // WriteReport puts an owner's report into the headers of its answer.
 func WriteReport(h *fasthttp.ResponseHeader, r translator.Report) {
 	h.Set(checker.HeaderOutcome, string(r.Outcome))
@@ -23,7 +26,7 @@
 		h.Set(checker.HeaderDetail, url.QueryEscape(r.Detail))
 	}
 	if r.Load.Known {
-		h.Set(checker.HeaderLoad, strconv.Itoa(r.Load.Busy)+";"+strconv.FormatInt(r.Load.Wait.Microseconds(), 10))
+		h.Set(checker.HeaderLoad, strconv.Itoa(r.Load.Busy)+";"+strconv.FormatInt(r.Load.Wait.Microseconds(), 10)+";"+strconv.FormatInt(r.Load.Work.Microseconds(), 10))
 	}
 }
 
@@ -40,11 +43,15 @@
 }
 
 func readLoad(value string) translator.Load {
-	busy, wait, ok := strings.Cut(value, ";")
-	n, busyErr := strconv.Atoi(busy)
-	us, waitErr := strconv.ParseInt(wait, 10, 64)
-	if !ok || busyErr != nil || waitErr != nil {
+	f := strings.Split(value, ";")
+	if len(f) != loadFields {
+		return translator.Load{}
+	}
+	busy, busyErr := strconv.Atoi(f[0])
+	wait, waitErr := strconv.ParseInt(f[1], 10, 64)
+	work, workErr := strconv.ParseInt(f[2], 10, 64)
+	if busyErr != nil || waitErr != nil || workErr != nil {
 		return translator.Load{}
 	}
-	return translator.Load{Known: true, Busy: n, Wait: time.Duration(us) * time.Microsecond}
+	return translator.Load{Known: true, Busy: busy, Wait: time.Duration(wait) * time.Microsecond, Work: time.Duration(work) * time.Microsecond}
 }
--- a/request/receiver/attempt.go
+++ b/request/receiver/attempt.go
@@ -218,7 +218,7 @@
 	} else {
 		report, detail = v.sendPeer(a, c, o, done)
 	}
-	v.learn(a, c, report, time.Since(now))
+	v.learn(a, c, report)
 	if detail == "" {
 		detail = report.Detail
 	}
@@ -226,11 +226,11 @@
 }
 
 // learn takes in what an offer showed of its endpoint.
-func (v *Receiver) learn(a *attempt, c router.Choice, r translator.Report, took time.Duration) {
-	v.Board.Said(c.EndpointKey, r.Load)
+func (v *Receiver) learn(a *attempt, c router.Choice, r translator.Report) {
+	v.Board.Said(c.EndpointKey, a.routeName(), r.Load)
 	switch {
 	case r.Outcome == forwarder.OutcomeRan && !a.failed():
-		v.Board.Answered(c.EndpointKey, a.routeName(), max(took-r.Load.Wait, time.Millisecond))
+		v.Board.Answered(c.EndpointKey, a.routeName(), r.Load)
 	case r.Reason != translator.ReasonHungUp && r.Reason != translator.ReasonLimit:
 		v.Board.Penalise(c.EndpointKey)
 	}
--- a/request/router/router.go
+++ b/request/router/router.go
@@ -31,6 +31,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/hornbeamrack/hornbeamrack/request/tracker"
 	"github.com/hornbeamrack/hornbeamrack/request/translator"
 	"github.com/hornbeamrack/hornbeamrack/version/applier"
 	"github.com/hornbeamrack/hornbeamrack/version/compiler"
@@ -51,11 +52,10 @@
 	farBulkCost = 400 * time.Millisecond
 	// firstUsual is assumed of a target while nothing is known of any.
 	firstUsual = 100 * time.Millisecond
-	// usualWeight and slownessWeight are the numbers of answers that the usual
-	// latency of a route and the slowness of an endpoint look back on.
-	usualWeight    = 64
-	slownessWeight = 6
-	mostSlowness   = 20
+	// usualWeight is the number of owners' words that the usual latency of a
+	// route looks back on.
+	usualWeight  = 64
+	mostSlowness = 20
 	// coldSlowness is that of a target that has just started.
 	coldSlowness = 2
 	// slownessLife is how long a learned slowness keeps most of its weight.
@@ -63,9 +63,6 @@
 	// exploreShare is the part of requests that try an endpoint which nothing is
 	// known of, one at a time.
 	exploreShare = 0.1
-	// overdue is how many times its usual time a request may be out before it
-	// tells that its target is slow.
-	overdue = 2
 	// busyCost is the part that a target with no idle slot costs more.
 	busyCost = 0.2
 	// wordLife is how long an owner's word on its load keeps most of its weight.
@@ -99,13 +96,13 @@
 
 // load is what this node knows of one endpoint.
 type load struct {
-	out          map[uint64]time.Time // out holds when each request in flight was sent.
-	slowness     float64              // slowness is how long answers take against the usual of their routes, 0 while unknown.
-	learnedAt    time.Time            // learnedAt is when slowness was last learned.
-	others       float64              // others is the number of requests there that this node did not send.
-	saidAt       time.Time            // saidAt is when the owner said so.
-	penalisedTil time.Time            // penalisedTil is the deadline before which the endpoint is avoided.
-	failures     int                  // failures counts what went wrong since the last answer.
+	flights      tracker.Flights
+	slowness     float64   // slowness is how long answers take against the usual of their routes, 0 while unknown.
+	learnedAt    time.Time // learnedAt is when slowness was last learned.
+	others       float64   // others is the number of requests there that this node did not send.
+	saidAt       time.Time // saidAt is when the owner said so.
+	penalisedTil time.Time // penalisedTil is the deadline before which the endpoint is avoided.
+	failures     int       // failures counts what went wrong since the last answer.
 }
 
 // unknownLoad stands for an endpoint that this node has not used yet.
@@ -124,30 +121,13 @@
 	return 1 + (l.slowness-1)*math.Exp(-float64(now.Sub(l.learnedAt))/float64(slownessLife))
 }
 
-// overdueFor returns how long the second oldest request in flight has been
-// out: a single one may just be long.
-func (l *load) overdueFor(now time.Time) time.Duration {
-	var oldest, second time.Duration
-	for _, at := range l.out {
-		age := now.Sub(at)
-		switch {
-		case age > oldest:
-			oldest, second = age, oldest
-		case age > second:
-			second = age
-		}
-	}
-	return second
-}
-
 // Board is the node's shared table of endpoint loads. It is safe for
 // concurrent use; its lock is held for map access only.
 type Board struct {
 	mu    sync.Mutex
 	loads map[applier.EndpointKey]*load
-	usual map[string]time.Duration // usual is the moving average of latencies by route.
+	usual map[string]time.Duration // usual is the moving average of the owners' words by route.
 	turns map[string]float64
-	sent  uint64
 }
 
 // Query asks for an endpoint.
@@ -203,10 +183,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	usual, ok := b.usual[q.Route]
-	if !ok {
-		usual = firstUsual
-	}
+	usual := b.usualFor(q.Route, firstUsual)
 	far := farCost
 	if q.Bulk {
 		far = farBulkCost
@@ -238,8 +215,8 @@
 	c := Choice{Endpoint: e, Usual: time.Duration(float64(usual) * l.slownessAt(now))}
 	// What has been out for long tells that the target is slow before any
 	// answer does.
-	c.Usual = max(c.Usual, l.overdueFor(now)/overdue)
-	busy := float64(len(l.out)) + l.others*math.Exp(-float64(now.Sub(l.saidAt))/float64(wordLife))
+	c.Usual = max(c.Usual, l.flights.LeastWork(now))
+	busy := float64(l.flights.Len()) + l.others*math.Exp(-float64(now.Sub(l.saidAt))/float64(wordLife))
 	slots := float64(max(e.Slots, 1))
 	if ahead := busy + 1 - slots; ahead > 0 {
 		c.Wait = time.Duration(ahead / slots * float64(c.Usual))
@@ -250,7 +227,7 @@
 	cost *= 1 + busyCost*min(busy/slots, 1)
 	if now.Before(l.penalisedTil) {
 		cost += penaltyCost.Seconds()
-	} else if l.slowness == 0 && len(l.out) == 0 && rand.Float64() < exploreShare {
+	} else if l.slowness == 0 && l.flights.Len() == 0 && rand.Float64() < exploreShare {
 		cost = 0
 	}
 	return c, cost
@@ -261,49 +238,56 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	l := b.entry(k)
-	b.sent++
-	id := b.sent
-	l.out[id] = time.Now()
+	id := l.flights.Begin(time.Now())
 	return func() {
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		delete(l.out, id)
+		l.flights.End(id)
 	}
 }
 
-// Said takes in what an owner said of its load. It counts this node's own
-// requests too.
-func (b *Board) Said(k applier.EndpointKey, w translator.Load) {
+// Said takes in what an owner said of its load, which counts this node's own
+// requests too, and of how long its target works on a request of a route. A
+// request's own latency is not used: it holds the wait for a slot.
+func (b *Board) Said(k applier.EndpointKey, route string, w translator.Load) {
 	if !w.Known {
 		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	l := b.entry(k)
-	l.others = max(0, float64(w.Busy-len(l.out)))
+	l.others = max(0, float64(w.Busy-l.flights.Len()))
 	l.saidAt = time.Now()
+	if w.Work <= 0 {
+		return
+	}
+	l.slowness = min(float64(w.Work)/float64(max(b.usualFor(route, w.Work), time.Millisecond)), mostSlowness)
+	l.learnedAt = l.saidAt
+}
+
+// usualFor returns the usual latency of a route, first while nothing is known.
+func (b *Board) usualFor(route string, first time.Duration) time.Duration {
+	if usual, ok := b.usual[route]; ok {
+		return usual
+	}
+	return first
 }
 
-// Answered takes in how long an endpoint took for a request of a route.
-func (b *Board) Answered(k applier.EndpointKey, route string, latency time.Duration) {
+// Answered notes that an endpoint answered a request of a route, and what its
+// owner said then.
+func (b *Board) Answered(k applier.EndpointKey, route string, w translator.Load) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.usual == nil || len(b.usual) > maxIdleEntries {
-		b.usual = map[string]time.Duration{}
-	}
-	usual, ok := b.usual[route]
-	if !ok {
-		usual = latency
-	}
-	b.usual[route] = usual + (latency-usual)/usualWeight
 	l := b.entry(k)
 	l.failures, l.penalisedTil = 0, time.Time{}
-	ratio := min(float64(latency)/float64(max(usual, time.Millisecond)), mostSlowness)
-	if l.slowness == 0 {
-		l.slowness = ratio
+	if w.Work <= 0 {
+		return
+	}
+	if b.usual == nil || len(b.usual) > maxIdleEntries {
+		b.usual = map[string]time.Duration{}
 	}
-	l.slowness += (ratio - l.slowness) / slownessWeight
-	l.learnedAt = time.Now()
+	usual := b.usualFor(route, w.Work)
+	b.usual[route] = usual + (w.Work-usual)/usualWeight
 }
 
 // Penalise avoids an endpoint for a while, longer each time until it answers.
@@ -325,7 +309,7 @@
 	if len(b.loads) >= maxIdleEntries {
 		b.forgetIdle()
 	}
-	l := &load{out: map[uint64]time.Time{}}
+	l := &load{}
 	b.loads[k] = l
 	return l
 }
@@ -334,7 +318,7 @@
 func (b *Board) forgetIdle() {
 	now := time.Now()
 	for k, l := range b.loads {
-		if len(l.out) == 0 && now.After(l.penalisedTil) {
+		if l.flights.Len() == 0 && now.After(l.penalisedTil) {
 			delete(b.loads, k)
 		}
 	}
--- a/request/translator/translator.go
+++ b/request/translator/translator.go
@@ -53,6 +53,7 @@
 	Known bool
 	Busy  int           // Busy is the number of requests that run or wait there.
 	Wait  time.Duration // Wait is how long a further request would wait for a slot.
+	Work  time.Duration // Work is how long the target works on a request of this route, 0 while unknown.
 }
 
 // Report says how an order ended.
