Requests ask a few owners for a free slot before they queue

Change: package bargainer. Up to three owners are asked for a slot that is free now and an answer within the aim; then the request queues where the owners' words promise the earliest answer.

--- /dev/null
+++ b/request/bargainer/bargainer.go
@@ -0,0 +1,88 @@
+// Package bargainer decides which owner node a request is offered to next, and
+// on what terms.
+//
+// Load pattern: many entry nodes send to many targets, each entry seldom to
+// each target, so what an entry knows of a target's queue is old. Going by it
+// alone sends many requests to the target that was idle a moment ago, where
+// they wait while others have room. An owner's refusal costs nothing but the
+// way there, so a request first asks a few owners for a slot that is free now.
+// Only when none has one does it queue, where the owners' words promise the
+// earliest answer.
+//
+// # Usage
+//
+//	b := &bargainer.Bargain{Board: board, Query: query}
+//	for o, ok := b.Next(); ok; o, ok = b.Next() {
+//		if accepted := send(o); accepted { break }
+//		b.Refused(o)
+//	}
+package bargainer
+
+import (
+	"slices"
+
+	"github.com/hornbeamrack/hornbeamrack/request/router"
+	"github.com/hornbeamrack/hornbeamrack/version/applier"
+)
+
+const (
+	// maxAsks bounds the owners that are asked for a slot that is free now.
+	maxAsks = 3
+	// maxQueued bounds the owners at whose targets a request may wait.
+	maxQueued = 4
+)
+
+// Offer is one endpoint with the terms for its owner.
+type Offer struct {
+	router.Choice
+	// Asking means that the owner is to refuse at once unless a slot is free and
+	// the answer can meet its aim.
+	Asking bool
+}
+
+// Bargain is the state of one request while it is offered. Exported fields are
+// set before the first Next; it is not safe for concurrent use.
+type Bargain struct {
+	Board *router.Board
+	Query router.Query // Query.Tried is not used.
+
+	asked  []applier.EndpointKey // asked had no slot free.
+	tried  []applier.EndpointKey // tried are not offered the request again.
+	queued int
+}
+
+// Next returns the next offer. ok is false when nobody is left to ask.
+func (b *Bargain) Next() (o Offer, ok bool) {
+	q := b.Query
+	q.Tried = b.tried
+	all, ok := b.Board.Pick(q)
+	if !ok {
+		return Offer{}, false
+	}
+	if len(b.asked) < maxAsks && all.Others > 0 {
+		q.Tried = slices.Concat(b.tried, b.asked)
+		// To wait where an owner has just refused may still be the better deal:
+		// a large answer is dear to carry between data centres.
+		if c, ok := b.Board.Pick(q); ok && (len(b.asked) == 0 || c.Cost < all.Cost || !slices.Contains(b.asked, all.EndpointKey)) {
+			return Offer{Choice: c, Asking: true}, true
+		}
+	}
+	return Offer{Choice: all}, b.queued < maxQueued
+}
+
+// Refused notes that an offer came to nothing: the owner had no slot, or the
+// endpoint failed.
+func (b *Bargain) Refused(o Offer, failed bool) {
+	if o.Asking && !failed {
+		b.asked = append(b.asked, o.EndpointKey)
+		return
+	}
+	b.tried = append(b.tried, o.EndpointKey)
+	b.queued++
+}
+
+// Offers returns how many owners have refused so far.
+func (b *Bargain) Offers() int { return len(b.asked) + len(b.tried) }
+
+// Reset forgets who refused, for a newer list of endpoints.
+func (b *Bargain) Reset() { b.asked, b.tried, b.queued = nil, nil, 0 }
--- /dev/null
+++ b/request/bargainer/replay_test.go
@@ -0,0 +1,285 @@
+package bargainer
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hornbeamrack/hornbeamrack/connection/registrar"
+	"github.com/hornbeamrack/hornbeamrack/request/limiter"
+	"github.com/hornbeamrack/hornbeamrack/request/router"
+	"github.com/hornbeamrack/hornbeamrack/version/applier"
+	"github.com/hornbeamrack/hornbeamrack/version/compiler"
+)
+
+// pattern is a load on a mesh, replayed in simulated time.
+type pattern struct {
+	name           string
+	entries        int
+	targets, slots int
+	speeds         []float64                      // speeds are those of the targets, in turn.
+	load           func(at time.Duration) float64 // load is the part of all slots that the work needs.
+	slow           func(target int, at time.Duration) float64
+	aim            time.Duration
+}
+
+const (
+	replayTime = 12 * time.Second
+	meanWork   = 220 * time.Millisecond
+	nearWay    = 100 * time.Microsecond
+	farWay     = 1400 * time.Microsecond
+	zones      = 3
+	queueLimit = 40
+	lateTime   = time.Second // lateTime is how long a request waits at most.
+	route      = "/designs"
+)
+
+// mesh is the stand-in for nodes and targets: limiters, boards and offers are
+// the real ones.
+type mesh struct {
+	pattern
+	begun   time.Time
+	boards  []*router.Board
+	owners  []*registrar.Target
+	service []*compiler.Service // service holds the endpoints as each data centre sees them.
+
+	mu       sync.Mutex
+	met, all [2]int // by rank
+}
+
+func newMesh(p pattern) *mesh {
+	m := &mesh{pattern: p, begun: time.Now()}
+	for range p.entries {
+		m.boards = append(m.boards, &router.Board{})
+	}
+	for range zones {
+		m.service = append(m.service, &compiler.Service{Pools: []*compiler.Pool{{Version: "v1"}}})
+	}
+	for i := range p.targets {
+		name := fmt.Sprintf("t%d", i)
+		m.owners = append(m.owners, &registrar.Target{
+			Announcement: registrar.Announcement{Target: name, Slots: p.slots},
+			Limiter:      &limiter.Limiter{Slots: p.slots, Queue: queueLimit},
+		})
+		e := applier.Endpoint{EndpointKey: applier.EndpointKey{Node: name, Target: name}, Slots: p.slots, Connections: i}
+		for z, s := range m.service {
+			if i%zones == z {
+				s.Pools[0].Near = append(s.Pools[0].Near, e)
+			} else {
+				s.Pools[0].Far = append(s.Pools[0].Far, e)
+			}
+		}
+	}
+	return m
+}
+
+// capacity is the number of requests a second that all targets can do.
+func (m *mesh) capacity() float64 {
+	sum := 0.0
+	for i := range m.owners {
+		sum += float64(m.slots) / meanWork.Seconds() / m.speeds[i%len(m.speeds)]
+	}
+	return sum
+}
+
+// play sends the pattern's requests through a way of placing and returns the
+// shares of the requests of both ranks that met their aim.
+func (m *mesh) play(seed uint64, place func(m *mesh, entry int, r *job)) [2]float64 {
+	g := rand.New(rand.NewPCG(seed, 11))
+	rate := m.capacity()
+	var work sync.WaitGroup
+	for at := time.Duration(0); at < replayTime; {
+		pause := time.Duration(g.ExpFloat64() / (rate * m.load(at)) * float64(time.Second))
+		time.Sleep(pause)
+		at += pause
+		r := &job{at: time.Now(), work: time.Duration((0.7 + 0.6*g.Float64()) * float64(meanWork)), aim: time.Now().Add(m.aim)}
+		if g.IntN(4) == 0 {
+			r.rank, r.aim = 1, r.aim.Add(m.aim/4)
+		}
+		m.all[r.rank]++
+		entry := g.IntN(m.entries)
+		work.Go(func() { place(m, entry, r) })
+	}
+	work.Wait()
+	return [2]float64{float64(m.met[0]) / float64(m.all[0]), float64(m.met[1]) / float64(m.all[1])}
+}
+
+// job is one request of a replay.
+type job struct {
+	at, aim time.Time
+	work    time.Duration
+	rank    int
+}
+
+// run lets a target work on a job.
+func (m *mesh) run(target int, r *job) {
+	t := m.owners[target]
+	took := float64(r.work) * m.speeds[target%len(m.speeds)]
+	if m.slow != nil {
+		took *= m.slow(target, time.Since(m.begun))
+	}
+	end := t.Begin()
+	time.Sleep(time.Duration(took))
+	end()
+	t.Served(route, time.Duration(took))
+	t.Limiter.Release()
+}
+
+// finish counts a job that was answered.
+func (m *mesh) finish(r *job) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !time.Now().After(r.aim) {
+		m.met[r.rank]++
+	}
+}
+
+func way(entry, target int) time.Duration {
+	if entry%zones == target%zones {
+		return nearWay
+	}
+	return farWay
+}
+
+// byBargain is how nodes place requests.
+func byBargain(m *mesh, entry int, r *job) {
+	board := m.boards[entry]
+	b := &Bargain{Board: board, Query: router.Query{Service: m.service[entry%zones], Version: "v1", Route: route}}
+	for o, ok := b.Next(); ok; o, ok = b.Next() {
+		target := o.Connections
+		t := m.owners[target]
+		order := limiter.Request{Rank: r.rank, Aim: r.aim, WaitTill: r.at.Add(lateTime), Asking: o.Asking}
+		done := board.Begin(o.EndpointKey)
+		time.Sleep(way(entry, target))
+		order.Work = t.Work(route)
+		err := t.Limiter.Acquire(context.Background(), order)
+		if err == nil {
+			m.run(target, r)
+		}
+		order.Work = t.Work(route)
+		word := t.Load(order)
+		time.Sleep(way(entry, target))
+		done()
+		board.Said(o.Endpoint, route, word)
+		if err == nil {
+			board.Answered(o.EndpointKey, route, word)
+			m.finish(r)
+			return
+		}
+		b.Refused(o, false)
+	}
+}
+
+// byTwoChoices is the way of before the words of owners: the less busy of two
+// random targets, first come first served.
+func byTwoChoices(m *mesh, entry int, r *job) {
+	a, b := rand.IntN(m.targets), rand.IntN(m.targets)
+	if m.owners[b].Limiter.Busy() < m.owners[a].Limiter.Busy() {
+		a = b
+	}
+	time.Sleep(way(entry, a))
+	// Requests of one aim and no work are served in the order in which they came.
+	order := limiter.Request{Aim: r.at.Add(time.Hour), WaitTill: r.at.Add(lateTime)}
+	if m.owners[a].Limiter.Acquire(context.Background(), order) != nil {
+		return
+	}
+	m.run(a, r)
+	time.Sleep(way(entry, a))
+	m.finish(r)
+}
+
+// bound returns about the most that could be met: all slots as one queue, every
+// work time known, nothing begun that misses its aim.
+func (p pattern) bound(seed uint64) [2]float64 {
+	var out [2]float64
+	m := newMesh(p)
+	out = m.play(seed, func(m *mesh, _ int, r *job) {
+		for {
+			best, least := -1, time.Duration(math.MaxInt64)
+			for i, t := range m.owners {
+				took := time.Duration(float64(r.work) * m.speeds[i%len(m.speeds)])
+				if m.slow != nil {
+					took = time.Duration(float64(took) * m.slow(i, time.Since(m.begun)))
+				}
+				if t.Limiter.Used() < m.slots && took < least {
+					best, least = i, took
+				}
+			}
+			if best >= 0 && !time.Now().Add(least).After(r.aim) {
+				if m.owners[best].Limiter.Acquire(context.Background(), limiter.Request{Asking: true}) == nil {
+					m.run(best, r)
+					m.finish(r)
+					return
+				}
+			}
+			if time.Now().After(r.aim) {
+				return
+			}
+			time.Sleep(2 * time.Millisecond)
+		}
+	})
+	return out
+}
+
+func steady(load float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return load }
+}
+
+func slowed(share int, times float64) func(int, time.Duration) float64 {
+	return func(target int, at time.Duration) float64 {
+		if target%share == 0 && at > 4*time.Second && at < 9*time.Second {
+			return times
+		}
+		return 1
+	}
+}
+
+// patterns are those of the two sizes of mesh.
+func patterns() []pattern {
+	mixed := []float64{0.5, 1, 1, 1.5}
+	burst := func(at time.Duration) float64 {
+		if at > 4*time.Second && at < 7*time.Second {
+			return 1.3
+		}
+		return 0.7
+	}
+	return []pattern{
+		{"54 targets, half loaded", 68, 54, 9, mixed, steady(0.5), nil, 800 * time.Millisecond},
+		{"54 targets, at 0.9 of what they can", 68, 54, 9, mixed, steady(0.9), nil, 800 * time.Millisecond},
+		{"54 targets, at 1.3 times", 68, 54, 9, mixed, steady(1.3), nil, 800 * time.Millisecond},
+		{"54 targets, burst of 1.8 times for 3 s", 68, 54, 9, mixed, burst, nil, 800 * time.Millisecond},
+		{"54 targets, one in six 8 times slower", 68, 54, 9, mixed, steady(0.6), slowed(6, 8), 800 * time.Millisecond},
+		{"6 targets, at 0.9 of what they can", 9, 6, 9, mixed, steady(0.9), nil, 600 * time.Millisecond},
+		{"6 targets, at 1.3 times", 9, 6, 9, mixed, steady(1.3), nil, 600 * time.Millisecond},
+		{"6 targets, burst of 1.8 times for 3 s", 9, 6, 9, mixed, burst, nil, 600 * time.Millisecond},
+		{"6 targets, one 5 times slower", 9, 6, 9, mixed, steady(0.6), slowed(6, 5), 600 * time.Millisecond},
+	}
+}
+
+// TestGoodputOfPlacement replays load patterns of whole meshes against the way
+// of before and against a bound that knows everything.
+func TestGoodputOfPlacement(t *testing.T) {
+	credit := func(s [2]float64) float64 { return s[0]*0.75 + s[1]*2*0.25 }
+	for _, p := range patterns() {
+		t.Run(p.name, func(t *testing.T) {
+			for seed := range uint64(2) {
+				var now, before, bound [2]float64
+				synctest.Test(t, func(t *testing.T) { now = newMesh(p).play(seed, byBargain) })
+				synctest.Test(t, func(t *testing.T) { before = newMesh(p).play(seed, byTwoChoices) })
+				synctest.Test(t, func(t *testing.T) { bound = p.bound(seed) })
+				t.Logf("seed %d: in aim others %.3f urgent %.3f; two choices %.3f %.3f; bound %.3f %.3f", seed, now[0], now[1], before[0], before[1], bound[0], bound[1])
+				is := is.New(t)
+				is.True(credit(now) >= credit(before))    // never below the way of before
+				is.True(credit(now) >= 0.9*credit(bound)) // nine tenths of the bound
+				is.True(now[1] >= now[0]-0.05)            // the urgent are not served less
+			}
+		})
+	}
+}
--- a/request/executor/executor.go
+++ b/request/executor/executor.go
@@ -180,7 +180,7 @@
 
 // slotRequest describes an order to the target's limiter.
 func slotRequest(t *registrar.Target, o Order) limiter.Request {
-	return limiter.Request{Rank: o.Rank, Work: t.Work(o.Route), Aim: o.Aim, WaitTill: o.WaitTill}
+	return limiter.Request{Rank: o.Rank, Work: t.Work(o.Route), Aim: o.Aim, WaitTill: o.WaitTill, Asking: o.Asking}
 }
 
 // limitReason tells a target that leaves from one that is busy.
--- a/request/executor/order.go
+++ b/request/executor/order.go
@@ -22,9 +22,12 @@
 	Deadline  time.Time
 	WaitTill  time.Time // WaitTill is until when the request may wait for a slot.
 	Aim       time.Time // Aim is when an answer loses most of its worth.
+	// Asking means that the owner is to refuse at once unless a slot is free and
+	// the answer can meet the aim.
+	Asking bool
 }
 
-const orderFields = 11
+const orderFields = 12
 
 // Encode writes an order as one header value. Times go as what is left of
 // them, since clocks differ between hosts.
@@ -33,7 +36,7 @@
 		url.QueryEscape(o.RequestID), url.QueryEscape(o.Target), url.QueryEscape(o.Route),
 		strconv.FormatBool(o.Unsafe), strconv.FormatBool(o.Stream), strconv.Itoa(o.Rank), url.QueryEscape(o.Origin),
 		strconv.FormatInt(o.Deadline.Sub(now).Microseconds(), 10), strconv.FormatInt(o.WaitTill.Sub(now).Microseconds(), 10), o.Attempt,
-		strconv.FormatInt(o.Aim.Sub(now).Microseconds(), 10),
+		strconv.FormatInt(o.Aim.Sub(now).Microseconds(), 10), strconv.FormatBool(o.Asking),
 	}, ";")
 }
 
@@ -54,7 +57,7 @@
 		}
 		*t.value = text
 	}
-	o.Unsafe, o.Stream, o.Attempt = f[3] == "true", f[4] == "true", f[9]
+	o.Unsafe, o.Stream, o.Attempt, o.Asking = f[3] == "true", f[4] == "true", f[9], f[11] == "true"
 	rank, err := strconv.Atoi(f[5])
 	if err != nil {
 		return Order{}, &Error{"decodeOrder", KindInvalid, err}
--- a/request/limiter/limiter.go
+++ b/request/limiter/limiter.go
@@ -61,6 +61,14 @@
 	Work     time.Duration // Work is how long the target is expected to take.
 	Aim      time.Time     // Aim is when an answer loses most of its worth.
 	WaitTill time.Time     // WaitTill is until when it may wait.
+	// Asking means that the request goes elsewhere unless a slot is free and its
+	// answer can meet the aim.
+	Asking bool
+}
+
+// late reports whether an answer is expected after an aim that is still ahead.
+func (r Request) late(now time.Time) bool {
+	return now.Before(r.Aim) && now.Add(r.Work).After(r.Aim)
 }
 
 // Limiter bounds one target. Exported fields are set before use.
@@ -101,11 +109,17 @@
 	if l.closed {
 		return 0, nil, &Error{"acquire", KindClosed, errors.New("the target takes no new work")}
 	}
+	now := time.Now()
+	if r.Asking && r.late(now) {
+		return 0, nil, &Error{"acquire", KindHopeless, errors.Errorf("the target takes %s for it, past its aim", r.Work.Round(time.Millisecond))}
+	}
 	if l.used < l.Slots {
 		l.used++
 		return 0, nil, nil
 	}
-	now := time.Now()
+	if r.Asking {
+		return 0, nil, &Error{"acquire", KindFull, errors.Errorf("%d running, %d waiting", l.used, l.queue.Len())}
+	}
 	if wait := l.waitFor(now, r); now.Add(wait).After(r.WaitTill) {
 		return 0, nil, &Error{"acquire", KindHopeless, errors.Errorf("%d running, %d waiting, a slot is expected in %s", l.used, l.queue.Len(), wait.Round(time.Millisecond))}
 	}
--- a/request/receiver/attempt.go
+++ b/request/receiver/attempt.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hornbeamrack/hornbeamrack/connection/acceptor"
+	"github.com/hornbeamrack/hornbeamrack/request/bargainer"
 	"github.com/hornbeamrack/hornbeamrack/request/checker"
 	"github.com/hornbeamrack/hornbeamrack/request/executor"
 	"github.com/hornbeamrack/hornbeamrack/request/forwarder"
@@ -25,8 +26,6 @@
 	// answerMargin is the way of an answer to a caller, which counts from when
 	// it sent the request.
 	answerMargin = 25 * time.Millisecond
-	// maxOffers bounds the owners that one request is offered to.
-	maxOffers = 6
 	// leastWait lets a slot that is just being freed be waited for.
 	leastWait = 20 * time.Millisecond
 	// lateShare is the part of a route's timeout that a request may wait for a
@@ -55,10 +54,11 @@
 	unsafe   bool
 	keyed    bool
 	version  string
-	tried    []applier.EndpointKey
-	arrivals int       // arrivals counts what may have reached targets.
-	newsTill time.Time // newsTill is until when newer tables are waited for, zero before the first wait.
-	mayRan   bool      // mayRan means that an earlier endpoint may have run the request.
+	bargain  bargainer.Bargain
+	tried    []applier.EndpointKey // tried are the endpoints that refused or failed, for the log.
+	arrivals int                   // arrivals counts what may have reached targets.
+	newsTill time.Time             // newsTill is until when newer tables are waited for, zero before the first wait.
+	mayRan   bool                  // mayRan means that an earlier endpoint may have run the request.
 }
 
 func (v *Receiver) newAttempt(x *acceptor.Exchange, table *compiler.Table, route *compiler.Route, caller translator.Caller) *attempt {
@@ -89,22 +89,21 @@
 		return v.end(a, translator.NotRun(translator.ReasonHungUp), "the connection ended before the request's turn")
 	}
 	report, detail := translator.NotRun(translator.ReasonNoTarget), "no target runs this service"
-	for n := 0; n < maxOffers; n++ {
-		if n > 0 && report.Reason == translator.ReasonNoTarget && v.exhausted(a) {
-			if !v.refresh(a) {
-				break
-			}
-			n = 0
+	a.bargain = bargainer.Bargain{Board: &v.Board, Query: a.query()}
+	for {
+		o, ok := a.bargain.Next()
+		if !ok && len(a.tried) > 0 && report.Reason == translator.ReasonNoTarget && v.refresh(a) {
+			continue
 		}
-		c, ok := v.Board.Pick(router.Query{Service: a.service, Version: a.version, Route: a.routeName(), Tried: a.tried, Bulk: a.route.Bulk || a.route.Stream})
-		if !ok || (n > 0 && time.Until(a.deadline) < time.Duration(retryShare*float64(c.Usual))) {
+		if !ok || (len(a.tried) > 0 && time.Until(a.deadline) < time.Duration(retryShare*float64(o.Usual))) {
 			break
 		}
-		a.tried = append(a.tried, c.EndpointKey)
-		report, detail = v.send(a, c)
+		a.tried = append(a.tried, o.EndpointKey)
+		report, detail = v.send(a, o)
 		if a.settled(report) {
 			return v.end(a, report, detail)
 		}
+		a.bargain.Refused(o, report.Reason != translator.ReasonLimit)
 		if reached(report) {
 			a.arrivals++
 			a.mayRan = a.mayRan || report.Outcome != forwarder.OutcomeNotRun
@@ -113,15 +112,14 @@
 			}
 			retriesTotal.Inc()
 		}
-		v.logRetry(a, c, report, detail)
+		v.logRetry(a, o, report, detail)
 	}
 	return v.end(a, report, detail)
 }
 
-// exhausted reports whether every endpoint of the table was tried.
-func (v *Receiver) exhausted(a *attempt) bool {
-	_, ok := v.Board.Pick(router.Query{Service: a.service, Version: a.version, Route: a.routeName(), Tried: a.tried})
-	return !ok
+// query describes the request to the board.
+func (a *attempt) query() router.Query {
+	return router.Query{Service: a.service, Version: a.version, Route: a.routeName(), Bulk: a.route.Bulk || a.route.Stream}
 }
 
 // refresh waits for a newer table when no target that the table names is known
@@ -139,7 +137,9 @@
 	}
 	a.table = v.Tables.Table()
 	if s := a.table.Service(a.service.Name); s != nil {
-		a.service, a.tried = s, nil
+		a.service = s
+		a.bargain.Query = a.query()
+		a.bargain.Reset()
 	}
 	return true
 }
@@ -188,7 +188,7 @@
 }
 
 // waitTill returns until when the request may wait for a slot of an endpoint.
-func (a *attempt) waitTill(c router.Choice, now time.Time) time.Time {
+func (a *attempt) waitTill(c bargainer.Offer, now time.Time) time.Time {
 	till := a.aim.Add(-c.Usual)
 	if late := a.x.ReceivedAt.Add(time.Duration(lateShare * float64(a.route.Timeout))); late.After(till) {
 		till = late
@@ -203,11 +203,11 @@
 }
 
 // send offers the request to one endpoint.
-func (v *Receiver) send(a *attempt, c router.Choice) (translator.Report, string) {
+func (v *Receiver) send(a *attempt, c bargainer.Offer) (translator.Report, string) {
 	now := time.Now()
 	o := executor.Order{
 		RequestID: a.caller.RequestID, Attempt: v.requestID(), Target: c.Target, Route: a.routeName(), Unsafe: a.unsafe, Stream: a.route.Stream,
-		Rank: a.route.Rank(), Origin: v.originService(), Deadline: a.deadline, WaitTill: a.waitTill(c, now), Aim: a.aim,
+		Rank: a.route.Rank(), Origin: v.originService(), Deadline: a.deadline, WaitTill: a.waitTill(c, now), Aim: a.aim, Asking: c.Asking,
 	}
 	done := v.Board.Begin(c.EndpointKey)
 	a.x.Response.Reset()
@@ -226,8 +226,8 @@
 }
 
 // learn takes in what an offer showed of its endpoint.
-func (v *Receiver) learn(a *attempt, c router.Choice, r translator.Report) {
-	v.Board.Said(c.EndpointKey, a.routeName(), r.Load)
+func (v *Receiver) learn(a *attempt, c bargainer.Offer, r translator.Report) {
+	v.Board.Said(c.Endpoint, a.routeName(), r.Load)
 	switch {
 	case r.Outcome == forwarder.OutcomeRan && !a.failed():
 		v.Board.Answered(c.EndpointKey, a.routeName(), r.Load)
@@ -254,7 +254,7 @@
 }
 
 // sendPeer asks another node to carry out the order.
-func (v *Receiver) sendPeer(a *attempt, c router.Choice, o executor.Order, done func()) (translator.Report, string) {
+func (v *Receiver) sendPeer(a *attempt, c bargainer.Offer, o executor.Order, done func()) (translator.Report, string) {
 	req, resp := &a.x.Request, &a.x.Response
 	req.Header.Set(checker.HeaderOrder, o.Encode(time.Now()))
 	defer req.Header.Del(checker.HeaderOrder)
@@ -279,7 +279,7 @@
 // silent notes that an owner gave no sign. A request that may run twice is
 // then offered elsewhere; another is waited for, since it may be running. A
 // node that stops waits for both.
-func (v *Receiver) silent(a *attempt, c router.Choice) bool {
+func (v *Receiver) silent(a *attempt, c bargainer.Offer) bool {
 	v.Board.Penalise(c.EndpointKey)
 	return !a.unsafe && a.arrivals < a.route.Retries && !v.draining.Load()
 }
--- a/request/receiver/log.go
+++ b/request/receiver/log.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/hornbeamrack/hornbeamrack/request/router"
+	"github.com/hornbeamrack/hornbeamrack/request/bargainer"
 	"github.com/hornbeamrack/hornbeamrack/request/translator"
 )
 
@@ -37,9 +37,9 @@
 	}
 }
 
-func (v *Receiver) logRetry(a *attempt, c router.Choice, r translator.Report, detail string) {
+func (v *Receiver) logRetry(a *attempt, c bargainer.Offer, r translator.Report, detail string) {
 	if v.Journal.Allowed(lineRetried) {
-		v.Journal.Info(lineRetried, append(v.fields(a), "target", c.EndpointKey.String(), "outcome", r.Outcome, "reason", r.Reason, "detail", detail,
+		v.Journal.Info(lineRetried, append(v.fields(a), "target", c.EndpointKey.String(), "outcome", r.Outcome, "reason", r.Reason, "detail", detail, "asking", c.Asking,
 			"expectedWaitMs", c.Wait.Milliseconds(), "usualMs", c.Usual.Milliseconds())...)
 	}
 }
--- a/request/router/router.go
+++ b/request/router/router.go
@@ -169,8 +169,10 @@
 // Choice is an endpoint with when it is expected to answer.
 type Choice struct {
 	applier.Endpoint
-	Usual time.Duration // Usual is how long the target works on a request.
-	Wait  time.Duration // Wait is how long a slot is expected to take to come free.
+	Usual  time.Duration // Usual is how long the target works on a request.
+	Wait   time.Duration // Wait is how long a slot is expected to take to come free.
+	Others int           // Others is the number of endpoints that were considered beside it.
+	Cost   float64       // Cost is what the endpoint was chosen by: when it is expected to answer, in seconds, and the price of the way.
 }
 
 // Pick returns the endpoint of the version that is expected to answer first
@@ -188,7 +190,7 @@
 	if q.Bulk {
 		far = farBulkCost
 	}
-	best, bestCost, found := Choice{}, math.Inf(1), false
+	best, bestCost, considered := Choice{}, math.Inf(1), 0
 	consider := func(list []applier.Endpoint, extra time.Duration) {
 		for _, e := range list {
 			if slices.Contains(q.Tried, e.EndpointKey) {
@@ -196,14 +198,17 @@
 			}
 			c, cost := b.estimate(e, usual, now)
 			cost = (cost + extra.Seconds()) * (1 + tie*rand.Float64())
+			considered++
 			if cost < bestCost {
-				best, bestCost, found = c, cost, true
+				best, bestCost = c, cost
+				best.Cost = cost
 			}
 		}
 	}
 	consider(p.Near, 0)
 	consider(p.Far, far)
-	return best, found
+	best.Others = considered - 1
+	return best, considered > 0
 }
 
 // estimate returns when an endpoint is expected to answer, in seconds.
@@ -249,13 +254,13 @@
 // Said takes in what an owner said of its load, which counts this node's own
 // requests too, and of how long its target works on a request of a route. A
 // request's own latency is not used: it holds the wait for a slot.
-func (b *Board) Said(k applier.EndpointKey, route string, w translator.Load) {
+func (b *Board) Said(e applier.Endpoint, route string, w translator.Load) {
 	if !w.Known {
 		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	l := b.entry(k)
+	l := b.entry(e.EndpointKey)
 	l.others = max(0, float64(w.Busy-l.flights.Len()))
 	l.saidAt = time.Now()
 	if w.Work <= 0 {
