Owner nodes keep account of their host's link

Ruled out: processor (0.04 of 0.16 cores at most), slots (none of them full there). Change: package pacer. The owner counts what it has sent and what is due against the link's rate (new setting node.linkMbps), says how long the link is busy, and refuses large answers that the link cannot carry soon. Red before: TestFullLinkSendsLargeAnswersElsewhere (21 of 40 to the full link).

--- a/connection/registrar/registrar.go
+++ b/connection/registrar/registrar.go
@@ -38,9 +38,9 @@
 	// MaxTargets bounds the targets on one host.
 	MaxTargets = 64
 
-	// latencyWeight is the number of answers that the usual latency looks back on.
-	latencyWeight = 8
-	maxRoutes     = 4096
+	// usualWeight is the number of answers that moving averages look back on.
+	usualWeight = 8
+	maxRoutes   = 4096
 
 	maxSlots     = 10_000
 	coldRequests = 20
@@ -136,10 +136,16 @@
 	coldUntil atomic.Pointer[time.Time]
 
 	mu      sync.Mutex
-	usual   map[string]time.Duration // usual holds the moving average of latencies by route.
+	usual   map[string]usual // usual is by route.
 	flights tracker.Flights
 }
 
+// usual holds the moving averages of a route's answers.
+type usual struct {
+	latency time.Duration
+	size    int // size is in bytes.
+}
+
 // Begin notes a request that is handed to the target; the returned function
 // notes its end.
 func (t *Target) Begin() (end func()) {
@@ -153,19 +159,29 @@
 	}
 }
 
-// Served takes in how long the target worked on a request of a route.
-func (t *Target) Served(route string, latency time.Duration) {
+// Served takes in how long the target worked on a request of a route, and the
+// size of its answer in bytes.
+func (t *Target) Served(route string, latency time.Duration, size int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.usual == nil || len(t.usual) > maxRoutes {
-		t.usual = map[string]time.Duration{}
+		t.usual = map[string]usual{}
 	}
-	old, ok := t.usual[route]
+	u, ok := t.usual[route]
 	if !ok {
-		t.usual[route] = latency
-		return
+		u = usual{latency, size}
 	}
-	t.usual[route] = old + (latency-old)/latencyWeight
+	u.latency += (latency - u.latency) / usualWeight
+	u.size += (size - u.size) / usualWeight
+	t.usual[route] = u
+}
+
+// Size returns the usual size of the answers of a route in bytes, 0 while
+// nothing is known.
+func (t *Target) Size(route string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.usual[route].size
 }
 
 // Work returns how long the target is expected to work on a request of a route,
@@ -173,7 +189,7 @@
 func (t *Target) Work(route string) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return max(t.usual[route], t.flights.LeastWork(time.Now()))
+	return max(t.usual[route].latency, t.flights.LeastWork(time.Now()))
 }
 
 // Load describes how busy the target is for a further request like r.
--- a/process/configurer/configurer.go
+++ b/process/configurer/configurer.go
@@ -150,6 +150,7 @@
 	AnnounceAddress string       `yaml:"announceAddress"` // AnnounceAddress takes announcements of targets on this host.
 	Control         []string     `yaml:"control"`         // Control lists the control hosts' rpcAddress.
 	Queue           int          `yaml:"queue"`
+	LinkMbps        float64      `yaml:"linkMbps"` // LinkMbps is the rate of the host's network link, 0 when it is not known.
 	ClaimLifetime   decoder.Span `yaml:"claimLifetime"`
 	DrainTime       decoder.Span `yaml:"drainTime"`
 }
@@ -299,6 +300,9 @@
 	if n.Queue < 0 {
 		c.fail("$.node.queue", "use a number of requests", "queue is %d", n.Queue)
 	}
+	if n.LinkMbps < 0 {
+		c.fail("$.node.linkMbps", "use megabits a second, or leave it out", "linkMbps is %g", n.LinkMbps)
+	}
 	if n.Queue == 0 {
 		n.Queue = parser.DefaultQueue
 	}
--- a/process/proxier/proxier.go
+++ b/process/proxier/proxier.go
@@ -41,6 +41,7 @@
 	"github.com/hornbeamrack/hornbeamrack/request/budgeter"
 	"github.com/hornbeamrack/hornbeamrack/request/executor"
 	"github.com/hornbeamrack/hornbeamrack/request/observer"
+	"github.com/hornbeamrack/hornbeamrack/request/pacer"
 	"github.com/hornbeamrack/hornbeamrack/request/quarantiner"
 	"github.com/hornbeamrack/hornbeamrack/request/receiver"
 	"github.com/hornbeamrack/hornbeamrack/request/translator"
@@ -54,6 +55,7 @@
 	peerIdleTime    = 60 * time.Second
 	announceTimeout = 5 * time.Second
 	maxAnnounceBody = 16 << 10 // bytes
+	bytesPerMegabit = 1e6 / 8
 	drainCheck      = 20 * time.Millisecond
 	leaveTimeout    = time.Second
 	// callerTime and leastCallerTime bound the wait for callers, who look at
@@ -142,6 +144,7 @@
 	p.executor = &executor.Executor{
 		Targets: p.registrar, Claims: messenger.Claims{Client: client}, Observer: p.observer, Crashes: p.quarantiner,
 		Tracer: p.Tracer, Translator: p.Translator, Lifetime: n.ClaimLifetime.Duration(),
+		Link: &pacer.Link{BytesPerSecond: n.LinkMbps * bytesPerMegabit},
 	}
 	p.receiver = &receiver.Receiver{
 		Node: p.Settings.Name, Tables: &p.keeper, Owner: p.executor, Tracer: p.Tracer, Translator: p.Translator,
--- a/request/bargainer/replay_test.go
+++ b/request/bargainer/replay_test.go
@@ -128,7 +128,7 @@
 	end := t.Begin()
 	time.Sleep(time.Duration(took))
 	end()
-	t.Served(route, time.Duration(took))
+	t.Served(route, time.Duration(took), 0)
 	t.Limiter.Release()
 }
 
--- a/request/executor/executor.go
+++ b/request/executor/executor.go
@@ -35,6 +35,7 @@
 	"github.com/hornbeamrack/hornbeamrack/request/claimer"
 	"github.com/hornbeamrack/hornbeamrack/request/forwarder"
 	"github.com/hornbeamrack/hornbeamrack/request/limiter"
+	"github.com/hornbeamrack/hornbeamrack/request/pacer"
 	"github.com/hornbeamrack/hornbeamrack/request/translator"
 )
 
@@ -94,6 +95,7 @@
 	// Translator speaks to the targets.
 	Translator translator.Translator
 	Lifetime   time.Duration // Lifetime is how long a key is remembered; claimer.DefaultLifetime when zero.
+	Link       *pacer.Link   // Link is this host's; it may be nil.
 
 	background conc.WaitGroup
 	mu         sync.Mutex
@@ -112,6 +114,18 @@
 
 var interimFailures = metrics.NewCounter("hornbeam_interim_failures_total")
 
+const (
+	// largeAnswer is the size in bytes from which an answer is refused for the
+	// link's sake; smaller ones cost it little.
+	largeAnswer = 16 << 10
+	// askPatience and latePatience are how long a large answer may wait for the
+	// link: while other hosts are asked too, and when it is late anyway.
+	askPatience  = 80 * time.Millisecond
+	latePatience = 250 * time.Millisecond
+)
+
+var linkRefusals = metrics.NewCounter("hornbeam_link_refusals_total")
+
 // signAfter spares the sign for requests that are answered at once.
 const signAfter = 20 * time.Millisecond
 
@@ -128,11 +142,41 @@
 	// An entry node that is gone is noticed by the context.
 	stop := ex.InterimAfter(signAfter, func(error) { interimFailures.Inc() })
 	defer stop()
-	report := x.Execute(ex.Context(), &ex.Request, &ex.Response, o, func() {})
+	report := x.executeOverLink(ex, o)
+	report.Load.Link = x.Link.Delay(time.Now())
 	WriteReport(&ex.Response.Header, report)
 	ex.Response.Header.Set(checker.HeaderAttempt, o.Attempt)
 }
 
+// executeOverLink carries out an order whose answer goes over this host's link.
+func (x *Executor) executeOverLink(ex *acceptor.Exchange, o Order) translator.Report {
+	size := 0
+	if t, ok := x.Targets.Find(o.Target); ok {
+		size = t.Size(o.Route)
+	}
+	if wait := x.Link.Delay(time.Now()); size >= largeAnswer && wait > linkPatience(o, time.Now()) {
+		linkRefusals.Inc()
+		report := translator.NotRun(translator.ReasonLimit)
+		report.Load = translator.Load{Known: true, Wait: wait}
+		report.Detail = "the link of this host is busy for " + wait.Round(time.Millisecond).String()
+		translator.Own{}.WriteRefusal(&ex.Response, translator.Refusal{Report: report, Detail: report.Detail})
+		return report
+	}
+	done := x.Link.Expect(size)
+	report := x.Execute(ex.Context(), &ex.Request, &ex.Response, o, func() {})
+	done()
+	x.Link.Sent(time.Now(), bodySize(&ex.Response))
+	return report
+}
+
+// linkPatience returns how long a large answer may wait for the link.
+func linkPatience(o Order, now time.Time) time.Duration {
+	if o.Asking {
+		return askPatience
+	}
+	return max(o.Aim.Sub(now)/2, latePatience)
+}
+
 // Execute carries out one order. Unless the outcome is ran, resp holds a
 // refusal. The end of ctx means that nobody waits any more. done is called
 // once, after the answer was passed on.
@@ -242,13 +286,22 @@
 	failed := resp.StatusCode() >= fasthttp.StatusInternalServerError
 	x.observe(t, o, failed, latency)
 	if !failed {
-		t.Served(o.Route, latency)
+		t.Served(o.Route, latency, bodySize(resp))
 	}
 	checker.StripResponse(&resp.Header)
 	resp.Header.Set(checker.HeaderServed, t.Version+" "+t.Target)
 	return translator.Report{Outcome: forwarder.OutcomeRan, Load: t.Load(slotRequest(t, o))}, ""
 }
 
+// bodySize returns the size of an answer's body in bytes, 0 for a stream that
+// does not say.
+func bodySize(resp *fasthttp.Response) int {
+	if resp.IsBodyStream() {
+		return max(resp.Header.ContentLength(), 0)
+	}
+	return len(resp.Body())
+}
+
 // broken reports whether the target hung up before its whole answer came.
 func broken(err error) bool { return forwarder.IsKind(err, forwarder.KindBroken) }
 
--- a/request/executor/report.go
+++ b/request/executor/report.go
@@ -14,7 +14,7 @@
 )
 
 // loadFields is the number of fields of a load header.
-const loadFields = 3
+const loadFields = 4
 
 // WriteReport puts an owner's report into the headers of its answer.
 func WriteReport(h *fasthttp.ResponseHeader, r translator.Report) {
@@ -26,7 +26,7 @@
 		h.Set(checker.HeaderDetail, url.QueryEscape(r.Detail))
 	}
 	if r.Load.Known {
-		h.Set(checker.HeaderLoad, strconv.Itoa(r.Load.Busy)+";"+strconv.FormatInt(r.Load.Wait.Microseconds(), 10)+";"+strconv.FormatInt(r.Load.Work.Microseconds(), 10))
+		h.Set(checker.HeaderLoad, writeLoad(r.Load))
 	}
 }
 
@@ -42,16 +42,26 @@
 	}
 }
 
+func writeLoad(l translator.Load) string {
+	out := strconv.Itoa(l.Busy)
+	for _, d := range []time.Duration{l.Wait, l.Work, l.Link} {
+		out += ";" + strconv.FormatInt(d.Microseconds(), 10)
+	}
+	return out
+}
+
 func readLoad(value string) translator.Load {
 	f := strings.Split(value, ";")
 	if len(f) != loadFields {
 		return translator.Load{}
 	}
-	busy, busyErr := strconv.Atoi(f[0])
-	wait, waitErr := strconv.ParseInt(f[1], 10, 64)
-	work, workErr := strconv.ParseInt(f[2], 10, 64)
-	if busyErr != nil || waitErr != nil || workErr != nil {
-		return translator.Load{}
+	var n [loadFields]int64
+	for i := range f {
+		var err error
+		if n[i], err = strconv.ParseInt(f[i], 10, 64); err != nil {
+			return translator.Load{}
+		}
 	}
-	return translator.Load{Known: true, Busy: busy, Wait: time.Duration(wait) * time.Microsecond, Work: time.Duration(work) * time.Microsecond}
+	us := func(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+	return translator.Load{Known: true, Busy: int(n[0]), Wait: us(n[1]), Work: us(n[2]), Link: us(n[3])}
 }
--- /dev/null
+++ b/request/pacer/pacer_test.go
@@ -0,0 +1,38 @@
+package pacer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestLinkCarriesOneByteAfterTheOther has a row for each thing that a link is
+// told, in order.
+func TestLinkCarriesOneByteAfterTheOther(t *testing.T) {
+	is := is.New(t)
+	l := &Link{BytesPerSecond: 1000}
+	now := time.Unix(100, 0)
+	is.Equal(l.Delay(now), time.Duration(0))
+	done := l.Expect(500)
+	is.Equal(l.Delay(now), 500*time.Millisecond) // what is due counts
+	done()
+	l.Sent(now, 500)
+	l.Sent(now, 1000)
+	is.Equal(l.Delay(now), 1500*time.Millisecond)
+	now = now.Add(time.Second)
+	is.Equal(l.Delay(now), 500*time.Millisecond)
+	now = now.Add(time.Hour)
+	is.Equal(l.Delay(now), time.Duration(0)) // an idle link saves nothing up
+	l.Sent(now, 100)
+	is.Equal(l.Delay(now), 100*time.Millisecond)
+}
+
+func TestLinkWithoutARateIsNeverBusy(t *testing.T) {
+	is := is.New(t)
+	for _, l := range []*Link{nil, {}} {
+		l.Expect(1 << 30)()
+		l.Sent(time.Now(), 1<<30)
+		is.Equal(l.Delay(time.Now()), time.Duration(0))
+	}
+}
--- a/request/receiver/load_test.go
+++ b/request/receiver/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hornbeamrack/hornbeamrack/connection/registrar"
+	"github.com/hornbeamrack/hornbeamrack/request/pacer"
 	"github.com/hornbeamrack/hornbeamrack/request/router"
 )
 
@@ -38,3 +40,41 @@
 	is.True(c.Usual >= work)
 	is.True(c.Usual < 3*work)
 }
+
+// TestFullLinkSendsLargeAnswersElsewhere gives one of two hosts a link that
+// carries one large answer a second: after the first ones the requests go to the
+// other host, and small answers still come from both.
+func TestFullLinkSendsLargeAnswersElsewhere(t *testing.T) {
+	is := is.New(t)
+	const large = 64 << 10
+	a, b, c := newNode(t, "a", &claims{}), newNode(t, "b", &claims{}), newNode(t, "c", &claims{})
+	b.executor.Link = &pacer.Link{BytesPerSecond: large}
+	var ran [2]atomic.Int64
+	for i, n := range []*node{b, c} {
+		address, _ := listen(t, func(ctx *fasthttp.RequestCtx) {
+			ran[i].Add(1)
+			time.Sleep(10 * time.Millisecond)
+			if string(ctx.Path()) != "/designs/small" {
+				ctx.SetBody(make([]byte, large))
+			}
+		})
+		is.NoErr(n.targets.Announce(registrar.Announcement{Target: "t" + n.name, Service: "designs", Version: "v1", Address: address, Slots: 4, Connections: 4}))
+	}
+	put(t, 1, a, b, c)
+	var callers sync.WaitGroup
+	var answered atomic.Int64
+	for range 8 {
+		callers.Go(func() {
+			for range 5 {
+				if call(t, a.entry, "GET", "/designs/large", "").status == fasthttp.StatusOK {
+					answered.Add(1)
+				}
+			}
+		})
+	}
+	callers.Wait()
+	is.Equal(answered.Load(), int64(40))
+	t.Logf("full link %d, free link %d", ran[0].Load(), ran[1].Load())
+	is.True(ran[0].Load() <= 6) // what was under way before the first answer told its size
+	is.Equal(ran[0].Load()+ran[1].Load(), int64(40)) // a refusal reaches no target
+}
--- a/request/router/router.go
+++ b/request/router/router.go
@@ -100,6 +100,7 @@
 	slowness     float64   // slowness is how long answers take against the usual of their routes, 0 while unknown.
 	learnedAt    time.Time // learnedAt is when slowness was last learned.
 	others       float64   // others is the number of requests there that this node did not send.
+	linkFreeAt   time.Time // linkFreeAt is when the link of the endpoint's host is expected to be free.
 	saidAt       time.Time // saidAt is when the owner said so.
 	penalisedTil time.Time // penalisedTil is the deadline before which the endpoint is avoided.
 	failures     int       // failures counts what went wrong since the last answer.
@@ -226,6 +227,7 @@
 	if ahead := busy + 1 - slots; ahead > 0 {
 		c.Wait = time.Duration(ahead / slots * float64(c.Usual))
 	}
+	c.Wait += max(l.linkFreeAt.Sub(now), 0)
 	cost := (c.Usual + c.Wait).Seconds()
 	// A target with idle slots answers as fast as one with few, but leaves room
 	// for what other nodes send meanwhile.
@@ -263,6 +265,7 @@
 	l := b.entry(e.EndpointKey)
 	l.others = max(0, float64(w.Busy-l.flights.Len()))
 	l.saidAt = time.Now()
+	l.linkFreeAt = l.saidAt.Add(w.Link)
 	if w.Work <= 0 {
 		return
 	}
--- a/request/translator/translator.go
+++ b/request/translator/translator.go
@@ -54,6 +54,7 @@
 	Busy  int           // Busy is the number of requests that run or wait there.
 	Wait  time.Duration // Wait is how long a further request would wait for a slot.
 	Work  time.Duration // Work is how long the target works on a request of this route, 0 while unknown.
+	Link  time.Duration // Link is how long the host's link is busy with what was answered before.
 }
 
 // Report says how an order ended.
