A life of a target that has left stays left

Cause: a node that did not know a target when it deregistered, after a restart or once it had forgotten it, took in a late heartbeat of that life as a target that takes work. Change: the registrar remembers lives that left for five minutes. Red before: both rows of TestLeftLifeStaysLeft.

--- a/connection/registrar/registrar.go
+++ b/connection/registrar/registrar.go
@@ -42,6 +42,11 @@
 	usualWeight = 8
 	maxRoutes   = 4096
 
+	// leftTime is how long a life that left is remembered; its late words come
+	// within seconds.
+	leftTime = 5 * time.Minute
+	maxLeft  = 1024
+
 	maxSlots     = 10_000
 	coldRequests = 20
 	aliveTimeout = 200 * time.Millisecond
@@ -234,9 +239,17 @@
 
 	mu      sync.Mutex
 	targets map[string]*Target
+	left    map[string]leftLife // left is by target.
 	changed chan struct{}
 }
 
+// leftLife is a life of a target that has said that it leaves. It never takes
+// work again, whatever comes late.
+type leftLife struct {
+	startedAt int64 // startedAt is in Unix milliseconds.
+	forgetAt  time.Time
+}
+
 // Announce takes in a new target or renews a lease. A target that changed
 // anything about itself, its start included, replaces its earlier life; a late
 // announcement of an earlier life changes nothing.
@@ -250,6 +263,9 @@
 	if r.outdated(a, old) {
 		return nil
 	}
+	if l, ok := r.left[a.Target]; ok && old == nil && a.StartedAt <= l.startedAt {
+		return nil
+	}
 	if old == nil && len(r.targets) >= MaxTargets {
 		return &Error{"announce", KindFull, errors.Errorf("%d targets on this host", MaxTargets)}
 	}
@@ -267,6 +283,7 @@
 		r.put(a)
 	}
 	if a.Leaving {
+		r.leave(a.Target, a.StartedAt)
 		r.stop(r.targets[a.Target], "it drains")
 	}
 	return nil
@@ -327,6 +344,10 @@
 	if t != nil && startedAt != 0 && startedAt < t.StartedAt {
 		return nil // An earlier life left.
 	}
+	if t != nil {
+		startedAt = t.StartedAt
+	}
+	r.leave(name, startedAt)
 	if t == nil {
 		return &Error{"leave", KindUnknown, errors.Errorf("no target %q on this host", name)}
 	}
@@ -334,6 +355,17 @@
 	return nil
 }
 
+// leave remembers that a life of a target has left.
+func (r *Registrar) leave(name string, startedAt int64) {
+	if startedAt == 0 || startedAt < r.left[name].startedAt {
+		return
+	}
+	if r.left == nil || len(r.left) >= maxLeft {
+		r.left = map[string]leftLife{}
+	}
+	r.left[name] = leftLife{startedAt, r.now().Add(leftTime)}
+}
+
 // LeaveAll stops new work at every target, before the node itself stops.
 func (r *Registrar) LeaveAll() {
 	r.mu.Lock()
@@ -366,6 +398,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
+	for name, l := range r.left {
+		if now.After(l.forgetAt) {
+			delete(r.left, name)
+		}
+	}
 	for name, t := range r.targets {
 		if now.Before(t.expiresAt) {
 			continue
--- a/connection/registrar/registrar_test.go
+++ b/connection/registrar/registrar_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -49,6 +50,39 @@
 	}
 }
 
+// TestLeftLifeStaysLeft has a row for each way in which a node can have
+// forgotten a target when its late word comes.
+func TestLeftLifeStaysLeft(t *testing.T) {
+	rows := []struct {
+		name string
+		do   func(is *is.I, r *Registrar, now *time.Time)
+	}{
+		{"the leave was all that was heard", func(is *is.I, r *Registrar, _ *time.Time) {
+			is.True(r.Leave("t1", 100) != nil) // the target is not known
+		}},
+		{"the target was forgotten since", func(is *is.I, r *Registrar, now *time.Time) {
+			is.NoErr(r.Announce(target("t1", 100, 1)))
+			is.NoErr(r.Leave("t1", 100))
+			*now = now.Add(2 * LeaseTime)
+			r.Expire()
+			_, ok := r.Find("t1")
+			is.True(!ok)
+		}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			r := &Registrar{Now: func() time.Time { return now }}
+			row.do(is, r, &now)
+			is.NoErr(r.Announce(target("t1", 100, 7)))
+			is.Equal(names(r), nil)
+			is.NoErr(r.Announce(target("t1", 200, 1)))
+			is.Equal(names(r), []string{"t1"}) // the next life is another
+		})
+	}
+}
+
 func TestLeaveNamesALife(t *testing.T) {
 	is := is.New(t)
 	r := &Registrar{}
--- a/request/receiver/load_test.go
+++ b/request/receiver/load_test.go
@@ -75,6 +75,6 @@
 	callers.Wait()
 	is.Equal(answered.Load(), int64(40))
 	t.Logf("full link %d, free link %d", ran[0].Load(), ran[1].Load())
-	is.True(ran[0].Load() <= 6) // what was under way before the first answer told its size
+	is.True(ran[0].Load() <= 6)                      // what was under way before the first answer told its size
 	is.Equal(ran[0].Load()+ran[1].Load(), int64(40)) // a refusal reaches no target
 }
