Long frames between processes are compressed

A document of 800 routes is 140 KB; each change goes from its control host to the leader and from there to five others, and each restarted node takes a whole table. Ruled out: large answers, which stay near by. Change: framer compresses frames from 1 KB on with s2, when that makes them shorter; the limit holds before and after.

--- a/connection/framer/framer.go
+++ b/connection/framer/framer.go
@@ -5,7 +5,9 @@
 // answer into one frame, a four-byte length followed by a gob stream, and
 // refuses frames above a limit before any of their bytes are decoded. A frame
 // that has begun must end before a deadline, so a slow sender costs its own
-// connection and nothing more. The gob encoder lives as long as the
+// connection and nothing more. Longer frames are compressed, since sections and
+// documents repeat themselves and bytes between data centres are dear; the limit
+// holds for the frame before and after. The gob encoder lives as long as the
 // connection, so type descriptions travel once.
 //
 // # Usage
@@ -27,6 +29,7 @@
 	"sync"
 	"time"
 
+	"github.com/klauspost/compress/s2"
 	"github.com/pkg/errors"
 )
 
@@ -41,6 +44,10 @@
 	DefaultMaxInFlight = 64
 
 	lengthBytes = 4
+	// compressFrom is the length from which a frame is compressed, in bytes.
+	compressFrom = 1 << 10
+	// compressed marks the length of a compressed frame.
+	compressed = 1 << 31
 )
 
 // Kind tells what went wrong with a frame.
@@ -132,7 +139,8 @@
 	if _, err := io.ReadFull(s.conn, head[1:]); err != nil {
 		return &Error{"read", KindIO, err}
 	}
-	n := int(binary.BigEndian.Uint32(head[:]))
+	length := binary.BigEndian.Uint32(head[:])
+	n := int(length &^ compressed)
 	if n > s.limits.MaxFrame {
 		return &Error{"read", KindTooLarge, errors.Errorf("%d bytes, limit %d", n, s.limits.MaxFrame)}
 	}
@@ -143,7 +151,27 @@
 	if _, err := io.ReadFull(s.conn, s.frame); err != nil {
 		return &Error{"read", KindIO, err}
 	}
-	s.in.Reset(s.frame)
+	if length&compressed == 0 {
+		s.in.Reset(s.frame)
+		return nil
+	}
+	return s.expand()
+}
+
+// expand decompresses the frame that was read.
+func (s *stream) expand() error {
+	n, err := s2.DecodedLen(s.frame)
+	if err != nil {
+		return &Error{"read", KindDecode, err}
+	}
+	if n > s.limits.MaxFrame {
+		return &Error{"read", KindTooLarge, errors.Errorf("%d bytes when decompressed, limit %d", n, s.limits.MaxFrame)}
+	}
+	plain, err := s2.Decode(nil, s.frame)
+	if err != nil {
+		return &Error{"read", KindDecode, err}
+	}
+	s.in.Reset(plain)
 	return nil
 }
 
@@ -184,6 +212,9 @@
 		return &Error{"write", KindTooLarge, errors.Errorf("%d bytes, limit %d", n, s.limits.MaxFrame)}
 	}
 	binary.BigEndian.PutUint32(b, uint32(n))
+	if n >= compressFrom {
+		b = shrink(b)
+	}
 	if err := s.conn.SetWriteDeadline(time.Now().Add(s.limits.FrameTimeout)); err != nil {
 		return &Error{"write", KindIO, err}
 	}
@@ -193,6 +224,18 @@
 	return nil
 }
 
+// shrink compresses a frame, unless that makes it longer.
+func shrink(b []byte) []byte {
+	plain := b[lengthBytes:]
+	out := make([]byte, lengthBytes+s2.MaxEncodedLen(len(plain)))
+	n := len(s2.Encode(out[lengthBytes:], plain))
+	if n >= len(plain) {
+		return b
+	}
+	binary.BigEndian.PutUint32(out, uint32(n)|compressed)
+	return out[:lengthBytes+n]
+}
+
 // serverCodec implements rpc.ServerCodec. The slots channel bounds the calls
 // that are worked on at once.
 type serverCodec struct {
