A guess of the work for owners that know none, and a margin before the aim

Cause: owners gave the next slot to the request that is due soonest and can just meet its aim by its target's usual time. Half of all requests take longer, so under load most of those begun at the last moment were late; and after a restart owners know no time at all. Change: the expected work must fit one and a quarter times before the aim (queuer); an entry sends what it expects, at first 0.3 of the route's aim, and an owner that knows nothing goes by that. Margins 1.4 and 1.6 were no better; neither was a slot kept free of requests that have lost their aim.

--- a/connection/registrar/registrar.go
+++ b/connection/registrar/registrar.go
@@ -215,6 +215,9 @@
 // CrashedFirst reports true once in the target's life.
 func (t *Target) CrashedFirst() bool { return !t.crashed.Swap(true) }
 
+// SetColdUntil notes until when the target is slow from its start.
+func (t *Target) SetColdUntil(until time.Time) { t.coldUntil.Store(&until) }
+
 // Cold counts one answer and reports whether the target is so new that its
 // latency says nothing yet.
 func (t *Target) Cold() bool {
--- a/request/executor/executor.go
+++ b/request/executor/executor.go
@@ -18,6 +18,7 @@
 package executor
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"sync"
@@ -224,7 +225,7 @@
 
 // slotRequest describes an order to the target's limiter.
 func slotRequest(t *registrar.Target, o Order) limiter.Request {
-	return limiter.Request{Rank: o.Rank, Work: t.Work(o.Route), Aim: o.Aim, WaitTill: o.WaitTill, Asking: o.Asking}
+	return limiter.Request{Rank: o.Rank, Work: cmp.Or(t.Work(o.Route), o.Work), Aim: o.Aim, WaitTill: o.WaitTill, Asking: o.Asking}
 }
 
 // limitReason tells a target that leaves from one that is busy.
--- a/request/executor/order.go
+++ b/request/executor/order.go
@@ -20,14 +20,15 @@
 	Rank      int    // Rank is the importance; higher goes first.
 	Origin    string // Origin is the service on the host where the request began.
 	Deadline  time.Time
-	WaitTill  time.Time // WaitTill is until when the request may wait for a slot.
-	Aim       time.Time // Aim is when an answer loses most of its worth.
+	WaitTill  time.Time     // WaitTill is until when the request may wait for a slot.
+	Aim       time.Time     // Aim is when an answer loses most of its worth.
+	Work      time.Duration // Work is how long the entry expects the target to take, for an owner that does not know.
 	// Asking means that the owner is to refuse at once unless a slot is free and
 	// the answer can meet the aim.
 	Asking bool
 }
 
-const orderFields = 12
+const orderFields = 13
 
 // Encode writes an order as one header value. Times go as what is left of
 // them, since clocks differ between hosts.
@@ -37,6 +38,7 @@
 		strconv.FormatBool(o.Unsafe), strconv.FormatBool(o.Stream), strconv.Itoa(o.Rank), url.QueryEscape(o.Origin),
 		strconv.FormatInt(o.Deadline.Sub(now).Microseconds(), 10), strconv.FormatInt(o.WaitTill.Sub(now).Microseconds(), 10), o.Attempt,
 		strconv.FormatInt(o.Aim.Sub(now).Microseconds(), 10), strconv.FormatBool(o.Asking),
+		strconv.FormatInt(o.Work.Microseconds(), 10),
 	}, ";")
 }
 
@@ -63,6 +65,11 @@
 		return Order{}, &Error{"decodeOrder", KindInvalid, err}
 	}
 	o.Rank = rank
+	work, err := strconv.ParseInt(f[12], 10, 64)
+	if err != nil {
+		return Order{}, &Error{"decodeOrder", KindInvalid, err}
+	}
+	o.Work = time.Duration(work) * time.Microsecond
 	for _, t := range []struct {
 		field string
 		value *time.Time
--- a/request/queuer/queuer.go
+++ b/request/queuer/queuer.go
@@ -30,7 +30,13 @@
 }
 
 // meets reports whether the request can be answered before its aim.
-func (i Item) meets(now time.Time) bool { return !now.Add(i.Work).After(i.Aim) }
+func (i Item) meets(now time.Time) bool {
+	return !now.Add(time.Duration(workMargin * float64(i.Work))).After(i.Aim)
+}
+
+// workMargin is how many times the expected work must fit before the aim: half
+// of all requests take longer than expected.
+const workMargin = 1.25
 
 // before reports whether a goes before b.
 func before(a, b Item, now time.Time) bool {
--- a/request/receiver/attempt.go
+++ b/request/receiver/attempt.go
@@ -119,7 +119,7 @@
 
 // query describes the request to the board.
 func (a *attempt) query() router.Query {
-	return router.Query{Service: a.service, Version: a.version, Route: a.routeName(), Bulk: a.route.Bulk || a.route.Stream}
+	return router.Query{Service: a.service, Version: a.version, Route: a.routeName(), Aim: a.route.AimTime(), Bulk: a.route.Bulk || a.route.Stream}
 }
 
 // refresh waits for a newer table when no target that the table names is known
@@ -207,7 +207,7 @@
 	now := time.Now()
 	o := executor.Order{
 		RequestID: a.caller.RequestID, Attempt: v.requestID(), Target: c.Target, Route: a.routeName(), Unsafe: a.unsafe, Stream: a.route.Stream,
-		Rank: a.route.Rank(), Origin: v.originService(), Deadline: a.deadline, WaitTill: a.waitTill(c, now), Aim: a.aim, Asking: c.Asking,
+		Rank: a.route.Rank(), Origin: v.originService(), Deadline: a.deadline, WaitTill: a.waitTill(c, now), Aim: a.aim, Work: c.Usual, Asking: c.Asking,
 	}
 	done := v.Board.Begin(c.EndpointKey)
 	a.x.Response.Reset()
--- a/request/router/router.go
+++ b/request/router/router.go
@@ -50,8 +50,10 @@
 	farCost = 15 * time.Millisecond
 	// farBulkCost stands for the price of carrying a large answer between data centres.
 	farBulkCost = 400 * time.Millisecond
-	// firstUsual is assumed of a target while nothing is known of any.
-	firstUsual = 100 * time.Millisecond
+	// firstShare is the part of the aim that a target is assumed to take while
+	// nothing is known of any, and leastUsual the least time.
+	firstShare = 0.3
+	leastUsual = 10 * time.Millisecond
 	// usualWeight is the number of owners' words that the usual latency of a
 	// route looks back on.
 	usualWeight  = 64
@@ -135,7 +137,8 @@
 type Query struct {
 	Service *compiler.Service
 	Version string
-	Route   string // Route names the route, for how long its requests usually take.
+	Route   string        // Route names the route, for how long its requests usually take.
+	Aim     time.Duration // Aim is the time within which an answer is worth most, for a guess of the usual one.
 	Tried   []applier.EndpointKey
 	Bulk    bool // Bulk means that the answer is large.
 }
@@ -187,7 +190,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	usual := b.usualFor(q.Route, firstUsual)
+	usual := b.usualFor(q.Route, max(time.Duration(firstShare*float64(q.Aim)), leastUsual))
 	far := farCost
 	if q.Bulk {
 		far = farBulkCost
