A request is given up at a silent owner only if it can be offered elsewhere

Ruled out: the stop itself; nothing is given up after SIGTERM. Change: the budget is charged before the request is given up, and nothing is given up without another endpoint and the time for it. Red before, both rows of TestSilentOwnerIsKeptWithoutBudget (502 after 200 ms, now 200).

--- a/request/receiver/attempt.go
+++ b/request/receiver/attempt.go
@@ -58,6 +58,7 @@
 	tried    []applier.EndpointKey // tried are the endpoints that refused or failed, for the log.
 	arrivals int                   // arrivals counts what may have reached targets.
 	newsTill time.Time             // newsTill is until when newer tables are waited for, zero before the first wait.
+	paid     bool                  // paid means that the retry budget was charged for the next offer.
 	mayRan   bool                  // mayRan means that an earlier endpoint may have run the request.
 }
 
@@ -107,9 +108,10 @@
 		if reached(report) {
 			a.arrivals++
 			a.mayRan = a.mayRan || report.Outcome != forwarder.OutcomeNotRun
-			if a.arrivals > a.route.Retries || !v.Budget.Spend(a.service.Name) {
+			if a.arrivals > a.route.Retries || !a.paid && !v.Budget.Spend(a.service.Name) {
 				break
 			}
+			a.paid = false
 			retriesTotal.Inc()
 		}
 		v.logRetry(a, o, report, detail)
@@ -276,12 +278,21 @@
 	return executor.ReadReport(&resp.Header), ""
 }
 
-// silent notes that an owner gave no sign. A request that may run twice is
-// then offered elsewhere; another is waited for, since it may be running. A
-// node that stops waits for both.
+// silent notes that an owner gave no sign, and reports whether the request is
+// to be given up there. One that may run twice is, if it can be offered
+// elsewhere: that takes another endpoint, time, and the retry budget, which is
+// charged at once. Any other is waited for, since it may be running. A node that
+// stops waits for both.
 func (v *Receiver) silent(a *attempt, c bargainer.Offer) bool {
 	v.Board.Penalise(c.EndpointKey)
-	return !a.unsafe && a.arrivals < a.route.Retries && !v.draining.Load()
+	if a.unsafe || v.draining.Load() || a.arrivals >= a.route.Retries {
+		return false
+	}
+	if c.Others == 0 || time.Until(a.deadline) < c.Usual {
+		return false
+	}
+	a.paid = v.Budget.Spend(a.service.Name)
+	return a.paid
 }
 
 // end writes the final answer.
