Count and log the responses of targets that name another request

The owner node wrote nothing that tells a rejection by the target from a rejection of an earlier request that was read in its place: both are "shed: the target rejected the request" at the entry node, and nothing at the owner.

New: hornbeam_foreign_responses_total, hornbeam_target_refusals_total, and a rate-limited warning with the request id, the echoed id, the target, the status, and whether the response states that the request did not run. No logic changes.

--- a/process/proxier/proxier.go
+++ b/process/proxier/proxier.go
@@ -147,7 +147,7 @@
 	p.executor = &executor.Executor{
 		Targets: p.registrar, Claims: messenger.ClaimsClient{Client: client}, Observer: p.observer, Crashes: p.quarantiner,
 		Tracer: p.Tracer, Translator: p.Translator, ClaimLifetime: n.ClaimLifetime.AsDuration(),
-		Link: &meter.Link{BytesPerSecond: n.LinkMbps * bytesPerMegabit},
+		Link: &meter.Link{BytesPerSecond: n.LinkMbps * bytesPerMegabit}, Logger: p.AsyncLogger,
 	}
 	p.receiver = &receiver.Receiver{
 		Node: p.Settings.Name, Tables: &p.tables, Owner: p.executor, Tracer: p.Tracer, Translator: p.Translator,
--- a/request/executor/executor.go
+++ b/request/executor/executor.go
@@ -31,6 +31,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
+	"github.com/hornbeamrack/hornbeamrack/common/logger"
 	"github.com/hornbeamrack/hornbeamrack/connection/acceptor"
 	"github.com/hornbeamrack/hornbeamrack/connection/registrar"
 	"github.com/hornbeamrack/hornbeamrack/process/tracer"
@@ -104,8 +105,9 @@
 	Tracer   *tracer.Tracer
 	// Translator writes request headers for the targets and reads theirs.
 	Translator    translator.Translator
-	ClaimLifetime time.Duration // ClaimLifetime is how long a key is stored; claimer.DefaultLifetime when zero.
-	Link          *meter.Link   // Link is this host's network link; it may be nil.
+	ClaimLifetime time.Duration       // ClaimLifetime is how long a key is stored; claimer.DefaultLifetime when zero.
+	Link          *meter.Link         // Link is this host's network link; it may be nil.
+	Logger        *logger.AsyncLogger // Logger may be nil.
 
 	background conc.WaitGroup
 	mu         sync.Mutex
@@ -141,6 +143,17 @@
 // linkRejections counts the requests rejected because of the network link's backlog.
 var linkRejections = metrics.NewCounter("hornbeam_link_refusals_total")
 
+// The responses of targets that name another request than the one that they were read
+// for, and the requests that a target rejected as not run.
+var (
+	foreignResponsesTotal = metrics.NewCounter("hornbeam_foreign_responses_total")
+	targetRejectionsTotal = metrics.NewCounter("hornbeam_target_refusals_total")
+)
+
+// msgForeignResponse is the message of the log line on a response that names another
+// request.
+const msgForeignResponse = "response of another request"
+
 // ackDelay is the time after which a request is acknowledged. A request with a
 // response within it needs no acknowledgement.
 const ackDelay = 20 * time.Millisecond
@@ -301,8 +314,12 @@
 // response to this request.
 func (x *Executor) classifyResponse(resp *fasthttp.Response, t *registrar.Target, o Order, latency time.Duration) (translator.Report, string) {
 	metadata := x.Translator.ReadResponse(resp)
+	if metadata.RequestID != "" && metadata.RequestID != o.RequestID {
+		x.recordForeignResponse(t, o, resp.StatusCode(), metadata)
+	}
 	switch {
 	case metadata.NotRun:
+		targetRejectionsTotal.Inc()
 		report := translator.NotRun(translator.ReasonShed)
 		report.Load = t.LoadReport(limiterRequest(t, o))
 		return report, "the target rejected the request"
@@ -324,6 +341,15 @@
 	return translator.Report{Outcome: forwarder.OutcomeRan, Load: t.LoadReport(limiterRequest(t, o))}, ""
 }
 
+// recordForeignResponse counts and logs a response of a target that was read for one
+// request and names another.
+func (x *Executor) recordForeignResponse(t *registrar.Target, o Order, status int, m translator.ResponseMetadata) {
+	foreignResponsesTotal.Inc()
+	if x.Logger.AllowLine(msgForeignResponse) {
+		x.Logger.Warn(msgForeignResponse, "id", o.RequestID, "echoedID", m.RequestID, "target", t.Target, "route", o.Route, "status", status, "notRun", m.NotRun)
+	}
+}
+
 // bodySize returns the size of a response body in bytes, 0 for a stream of
 // unknown length.
 func bodySize(resp *fasthttp.Response) int {
