Compare each response with its request before anything in it is believed

What callers saw: unsafe requests answered 503, which promises that they did not run, although a target ran them (REFUSED), and unsafe requests that ran at two targets (TWICE).

Cause: the owner node read "not run" from a response (X-Not-Executed) before it compared the echoed request id, and a rejection without an id was believed too. A target that writes an earlier rejection once more, where the response to the next request is due, so made a running request "not run". Within the retry budget the entry node sent it to a second target, else it answered 503. The connection went back to the pool one response behind, so the real response was read for the next request. The class of fault: a connection's framing was trusted to pair responses with requests. The same held between nodes, where a response to another attempt was noticed but the connection was kept.

Change: the forwarder compares the header of each response with the request that waits (forwarder.Identity). A complete response that names another request is discarded and the next one is read, 16 at the most; one that names no request although the platform requires it, or whose end is uncertain, ends the connection with an unknown outcome. Owner nodes and entry nodes use the same code.

--- a/request/executor/claim.go
+++ b/request/executor/claim.go
@@ -32,7 +32,7 @@
 // claimed, and the claim is then settled or released according to the outcome.
 func (x *Executor) forwardWithClaim(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, t *registrar.Target, o Order) (translator.Report, string) {
 	key := req.Header.Peek(checker.HeaderIdempotencyKey)
-	send := func() error { return t.Forwarder.Do(ctx, req, resp, o.Deadline) }
+	send := func() error { return t.Forwarder.Do(ctx, req, resp, o.Deadline, x.identity(t, o)) }
 	if !o.Unsafe || len(key) == 0 {
 		return x.forward(req, resp, t, o, send)
 	}
--- a/request/executor/executor.go
+++ b/request/executor/executor.go
@@ -144,14 +144,13 @@
 var linkRejections = metrics.NewCounter("hornbeam_link_refusals_total")
 
 // The responses of targets that name another request than the one that they were read
-// for, and the requests that a target rejected as not run.
+// for, or none, and the requests that a target rejected as not run.
 var (
 	foreignResponsesTotal = metrics.NewCounter("hornbeam_foreign_responses_total")
 	targetRejectionsTotal = metrics.NewCounter("hornbeam_target_refusals_total")
 )
 
-// msgForeignResponse is the message of the log line on a response that names another
-// request.
+// msgForeignResponse is the message of the log line on such a response.
 const msgForeignResponse = "response of another request"
 
 // ackDelay is the time after which a request is acknowledged. A request with a
@@ -255,7 +254,9 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	if o.Stream && !o.Unsafe {
-		return x.forward(req, resp, t, o, func() error { return t.Forwarder.Stream(ctx, req, resp, o.Deadline, release) })
+		return x.forward(req, resp, t, o, func() error {
+			return t.Forwarder.Stream(ctx, req, resp, o.Deadline, x.identity(t, o), release)
+		})
 	}
 	defer release()
 	return x.forwardWithClaim(ctx, req, resp, t, o)
@@ -313,20 +314,13 @@
 // classifyResponse decides whether a response is the target's own complete
 // response to this request.
 func (x *Executor) classifyResponse(resp *fasthttp.Response, t *registrar.Target, o Order, latency time.Duration) (translator.Report, string) {
-	metadata := x.Translator.ReadResponse(resp)
-	if metadata.RequestID != "" && metadata.RequestID != o.RequestID {
-		x.recordForeignResponse(t, o, resp.StatusCode(), metadata)
-	}
+	metadata := x.Translator.ReadResponse(&resp.Header)
 	switch {
 	case metadata.NotRun:
 		targetRejectionsTotal.Inc()
 		report := translator.NotRun(translator.ReasonShed)
 		report.Load = t.LoadReport(limiterRequest(t, o))
 		return report, "the target rejected the request"
-	case metadata.RequestID != "" && metadata.RequestID != o.RequestID:
-		t.Forwarder.Close()
-		x.observe(t, o, true, latency)
-		return translator.Unknown(translator.ReasonWrongResponse), "the response names another request"
 	case !metadata.Verified:
 		x.observe(t, o, true, latency)
 		return translator.Unknown(translator.ReasonBroken), "the response cannot be verified as the target's complete response"
@@ -341,8 +335,21 @@
 	return translator.Report{Outcome: forwarder.OutcomeRan, Load: t.LoadReport(limiterRequest(t, o))}, ""
 }
 
+// identity returns how the response to an order is told from the responses to other
+// requests on the same connection. Responses that are not to the order are recorded.
+func (x *Executor) identity(t *registrar.Target, o Order) forwarder.Identity {
+	return forwarder.Identity{Match: func(h *fasthttp.ResponseHeader) forwarder.Match {
+		metadata := x.Translator.ReadResponse(h)
+		match := metadata.MatchRequest(o.RequestID)
+		if match != forwarder.MatchOwn {
+			x.recordForeignResponse(t, o, h.StatusCode(), metadata)
+		}
+		return match
+	}}
+}
+
 // recordForeignResponse counts and logs a response of a target that was read for one
-// request and names another.
+// request and names another one or none.
 func (x *Executor) recordForeignResponse(t *registrar.Target, o Order, status int, m translator.ResponseMetadata) {
 	foreignResponsesTotal.Inc()
 	if x.Logger.AllowLine(msgForeignResponse) {
@@ -403,6 +410,8 @@
 		return translator.ReasonCallerGone
 	case forwarder.KindNoAck:
 		return translator.ReasonNoAck
+	case forwarder.KindUnmatched:
+		return translator.ReasonWrongResponse
 	}
 	return translator.ReasonBroken
 }
--- a/request/forwarder/conn.go
+++ b/request/forwarder/conn.go
@@ -30,6 +30,7 @@
 type call struct {
 	req        *fasthttp.Request
 	resp       *fasthttp.Response
+	identity   Identity
 	stream     bool
 	bodyPassed chan struct{} // bodyPassed is closed when a streamed body is passed on or given up.
 	conn       *persistConn
@@ -208,17 +209,8 @@
 // did.
 func (pc *persistConn) readResponse(c *call) (bool, error) {
 	h := &c.resp.Header
-	for interims := 0; ; interims++ {
-		if interims > maxInterimResponses {
-			return false, errors.Errorf("more than %d interim responses", maxInterimResponses)
-		}
-		if err := h.Read(pc.br); err != nil {
-			return false, errors.Wrap(err, "read the response header")
-		}
-		c.acknowledged.Store(true)
-		if h.StatusCode() >= fasthttp.StatusOK || h.StatusCode() == fasthttp.StatusSwitchingProtocols {
-			break
-		}
+	if err := pc.readOwnHeader(c); err != nil {
+		return false, err
 	}
 	framed := h.ContentLength() != -2
 	pc.readIdleTimeout(h)
@@ -243,6 +235,68 @@
 	return reusable, nil
 }
 
+// readOwnHeader reads the header of the response to c. It discards the responses to
+// other requests that precede it. It fails if a response names no request, since neither
+// that one nor a later one can be assigned to c then.
+func (pc *persistConn) readOwnHeader(c *call) error {
+	for range maxForeignResponses + 1 {
+		if err := pc.readFinalHeader(c); err != nil {
+			return err
+		}
+		switch c.identity.match(&c.resp.Header) {
+		case MatchOwn:
+			c.acknowledged.Store(true)
+			return nil
+		case MatchNone:
+			return &Error{"do", KindUnmatched, errors.New("the response does not name the request that it is to")}
+		}
+		if err := pc.discardBody(c); err != nil {
+			return err
+		}
+	}
+	return &Error{"do", KindUnmatched, errors.Errorf("more than %d responses to other requests", maxForeignResponses)}
+}
+
+// readFinalHeader reads the header of a final response and discards the interim
+// responses that precede it.
+func (pc *persistConn) readFinalHeader(c *call) error {
+	h := &c.resp.Header
+	for range maxInterimResponses + 1 {
+		if err := h.Read(pc.br); err != nil {
+			return errors.Wrap(err, "read the response header")
+		}
+		if h.StatusCode() >= fasthttp.StatusOK || h.StatusCode() == fasthttp.StatusSwitchingProtocols {
+			return nil
+		}
+		c.acknowledged.Store(true)
+	}
+	return errors.Errorf("more than %d interim responses", maxInterimResponses)
+}
+
+// discardBody reads the body of a response to another request than c. It fails if the
+// end of that response cannot be found: whether a response to an unknown request has a
+// body is uncertain when c has the method HEAD.
+func (pc *persistConn) discardBody(c *call) error {
+	h := &c.resp.Header
+	if h.StatusCode() == fasthttp.StatusNoContent || h.StatusCode() == fasthttp.StatusNotModified {
+		return nil
+	}
+	if c.req.Header.IsHead() || h.ContentLength() == -2 {
+		return &Error{"do", KindUnmatched, errors.New("the response is to another request and its end is uncertain")}
+	}
+	defer pc.countBytes()()
+	if err := c.resp.ReadBody(pc.br, MaxResponseBytes); err != nil {
+		return errors.Wrap(err, "read the body of a response to another request")
+	}
+	if h.ContentLength() == -1 {
+		if err := h.ReadTrailer(pc.br); err != nil {
+			return errors.Wrap(err, "read the trailer of a response to another request")
+		}
+	}
+	c.resp.ResetBody()
+	return nil
+}
+
 // signalStreamStart ends the wait of a streamed call once its body can be read.
 func (c *call) signalStreamStart() {
 	if c.stream {
--- a/request/forwarder/endless_test.go
+++ b/request/forwarder/endless_test.go
@@ -60,7 +60,7 @@
 			f := &Forwarder{Address: address, MaxConnections: 4}
 			start := time.Now()
 			var resp fasthttp.Response
-			err := f.Do(context.Background(), newRequest("/"), &resp, start.Add(time.Minute))
+			err := f.Do(context.Background(), newRequest("/"), &resp, start.Add(time.Minute), Identity{})
 			is.Equal(OutcomeOf(err), OutcomeUnknown) // the request may have run
 			is.True(time.Since(start) < time.Minute)
 			<-closed // the connection was closed
@@ -94,7 +94,7 @@
 	for range many {
 		calls.Go(func() {
 			var resp fasthttp.Response
-			failures <- f.Do(context.Background(), newRequest("/"), &resp, time.Now().Add(time.Minute))
+			failures <- f.Do(context.Background(), newRequest("/"), &resp, time.Now().Add(time.Minute), Identity{})
 		})
 	}
 	resp, err := get(&Forwarder{Address: good, MaxConnections: 1}, "/")
--- a/request/forwarder/forwarder.go
+++ b/request/forwarder/forwarder.go
@@ -5,8 +5,9 @@
 // Each connection has a goroutine that reads from it. Bytes that arrive while no
 // request is pending belong to no request, so the connection is closed; it is
 // also closed when the peer closes it. A connection whose request failed, timed
-// out or was cancelled is closed and never reused, so a late response cannot be
-// taken for the response to another request.
+// out or was cancelled is closed and never reused. Each response is compared with
+// the request that waits for it, see Identity: a peer may write an earlier response
+// once more where the next one is expected.
 //
 // The client of fasthttp is not used: it rewrites the path, it cannot be
 // cancelled, and it takes bytes that arrive between two requests for the next
@@ -15,7 +16,7 @@
 // # Usage
 //
 //	f := &forwarder.Forwarder{Address: "10.0.0.7:7101", MaxConnections: 100}
-//	err := f.Do(ctx, &x.Request, &x.Response, deadline)
+//	err := f.Do(ctx, &x.Request, &x.Response, deadline, forwarder.Identity{Match: match})
 //	outcome := forwarder.OutcomeOf(err)
 //
 // Lock order: Forwarder.mu, then persistConn.mu.
@@ -55,6 +56,9 @@
 	// maxInterimResponses bounds the interim responses (status 1xx) to one request; more
 	// of them break the connection.
 	maxInterimResponses = 16
+	// maxForeignResponses bounds the responses to other requests that are discarded
+	// before the one to a request; more of them break the connection.
+	maxForeignResponses = 16
 
 	// dialTimeout bounds the establishment of a connection, which also ends at the
 	// deadline of the request.
@@ -96,6 +100,7 @@
 	KindNoConn              Kind = "noConnection" // KindNoConn means that MaxConnections are in use.
 	KindExpired             Kind = "expired"      // KindExpired means that the deadline had passed before the request was sent.
 	KindTimeout             Kind = "timeout"      // KindTimeout means that the response was not complete at the deadline.
+	KindUnmatched           Kind = "unmatched"    // KindUnmatched means that a response arrived that cannot be assigned to a request.
 	KindBroken              Kind = "broken"       // KindBroken means that the connection failed or the response was malformed.
 	KindCancelled           Kind = "cancelled"    // KindCancelled means that the context ended after the request may have been sent.
 	KindNoAck               Kind = "silent"       // KindNoAck means that the peer did not acknowledge the request in time.
@@ -161,15 +166,15 @@
 // Do sends the request once and reads the complete response into resp before the
 // deadline. The end of ctx cancels the request by closing its connection. On
 // failure it returns an Error, whose kind OutcomeOf maps to an outcome.
-func (f *Forwarder) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) error {
-	return f.run(ctx, &call{req: req, resp: resp}, deadline)
+func (f *Forwarder) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, id Identity) error {
+	return f.run(ctx, &call{req: req, resp: resp, identity: id}, deadline)
 }
 
 // DoAcknowledged is Do for a peer that acknowledges requests. onNoAck is called
 // once if no acknowledgement arrives within AckTimeout; if it returns true, the
 // request is given up with KindNoAck.
-func (f *Forwarder) DoAcknowledged(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, onNoAck func() bool) error {
-	return f.run(ctx, &call{req: req, resp: resp, onNoAck: onNoAck}, deadline)
+func (f *Forwarder) DoAcknowledged(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, id Identity, onNoAck func() bool) error {
+	return f.run(ctx, &call{req: req, resp: resp, identity: id, onNoAck: onNoAck}, deadline)
 }
 
 // Stream sends the request once and returns when the header of the response has
@@ -177,9 +182,9 @@
 // body ends with an error if nothing arrives for StallTimeout. done is called
 // once: after the body is passed on, or at once on an error. Stream returns errors
 // as Do does.
-func (f *Forwarder) Stream(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, done func()) error {
+func (f *Forwarder) Stream(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, id Identity, done func()) error {
 	inner := fasthttp.AcquireResponse()
-	c := &call{req: req, resp: inner, stream: true, bodyPassed: make(chan struct{})}
+	c := &call{req: req, resp: inner, identity: id, stream: true, bodyPassed: make(chan struct{})}
 	if err := f.run(ctx, c, deadline); err != nil {
 		done()
 		return err
--- a/request/forwarder/forwarder_test.go
+++ b/request/forwarder/forwarder_test.go
@@ -65,7 +65,7 @@
 
 func get(f *Forwarder, path string) (*fasthttp.Response, error) {
 	resp := &fasthttp.Response{}
-	err := f.Do(context.Background(), newRequest(path), resp, time.Now().Add(testTimeout))
+	err := f.Do(context.Background(), newRequest(path), resp, time.Now().Add(testTimeout), Identity{})
 	return resp, err
 }
 
@@ -189,7 +189,7 @@
 		<-got
 		cancel()
 	}()
-	err := (&Forwarder{Address: address}).Do(ctx, newRequest("/"), &fasthttp.Response{}, time.Now().Add(testTimeout))
+	err := (&Forwarder{Address: address}).Do(ctx, newRequest("/"), &fasthttp.Response{}, time.Now().Add(testTimeout), Identity{})
 	is.True(IsKind(err, KindCancelled))
 	select {
 	case <-gone:
@@ -198,7 +198,7 @@
 	}
 	cancelled, stop := context.WithCancel(context.Background())
 	stop()
-	err = (&Forwarder{Address: address}).Do(cancelled, newRequest("/"), &fasthttp.Response{}, time.Now().Add(testTimeout))
+	err = (&Forwarder{Address: address}).Do(cancelled, newRequest("/"), &fasthttp.Response{}, time.Now().Add(testTimeout), Identity{})
 	is.Equal(OutcomeOf(err), OutcomeNotRun) // nothing was sent
 }
 
@@ -218,7 +218,7 @@
 	req.SetBody(make([]byte, 16<<20))
 	resp := &fasthttp.Response{}
 	f := &Forwarder{Address: address, MaxConnections: 1}
-	is.NoErr(f.Do(context.Background(), req, resp, time.Now().Add(testTimeout)))
+	is.NoErr(f.Do(context.Background(), req, resp, time.Now().Add(testTimeout), Identity{}))
 	is.Equal(string(resp.Body()), "ok")
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/request/receiver/request.go
+++ b/request/receiver/request.go
@@ -291,7 +291,7 @@
 
 // sendToPeer sends the order with the request to another node and returns the owner
 // node's report. On a failed connection the report is derived from the error, whose text
-// is the second result; a response to another attempt gives an unknown outcome. done is
+// is the second result; a response that names no attempt gives an unknown outcome. done is
 // called once, when the attempt no longer counts as in flight.
 func (v *Receiver) sendToPeer(s *requestState, c dispatcher.Attempt, o executor.Order, done func()) (translator.Report, string) {
 	req, resp := &s.exchange.Request, &s.exchange.Response
@@ -299,22 +299,33 @@
 	defer req.Header.Del(checker.HeaderOrder)
 	var err error
 	if o.Stream && !o.Unsafe {
-		err = v.peer(c.Address).Stream(s.exchange.Context(), req, resp, o.Deadline.Add(ownerResponseGrace), done)
+		err = v.peer(c.Address).Stream(s.exchange.Context(), req, resp, o.Deadline.Add(ownerResponseGrace), ownerIdentity(o), done)
 	} else {
-		err = v.peer(c.Address).DoAcknowledged(s.exchange.Context(), req, resp, o.Deadline.Add(ownerResponseGrace), func() bool { return v.ackMissed(s, c) })
+		err = v.peer(c.Address).DoAcknowledged(s.exchange.Context(), req, resp, o.Deadline.Add(ownerResponseGrace), ownerIdentity(o), func() bool { return v.ackMissed(s, c) })
 		done()
 	}
 	if err != nil {
 		resp.Reset()
 		return translator.Report{Outcome: forwarder.OutcomeOf(err), Reason: executor.ReasonOf(err)}, err.Error()
 	}
-	if string(resp.Header.Peek(checker.HeaderAttempt)) != o.AttemptID {
-		return translator.Unknown(translator.ReasonWrongResponse), "the owner node's response belongs to another attempt"
-	}
 	resp.Header.Del(fasthttp.HeaderConnection)
 	return executor.ReadReport(&resp.Header), ""
 }
 
+// ownerIdentity returns how the owner node's response to an order is told from the
+// responses to other attempts on the same connection.
+func ownerIdentity(o executor.Order) forwarder.Identity {
+	return forwarder.Identity{Match: func(h *fasthttp.ResponseHeader) forwarder.Match {
+		switch string(h.Peek(checker.HeaderAttempt)) {
+		case o.AttemptID:
+			return forwarder.MatchOwn
+		case "":
+			return forwarder.MatchNone
+		}
+		return forwarder.MatchForeign
+	}}
+}
+
 // ackMissed records that an owner node sent no acknowledgement in time and reports
 // whether the request is given up there. An idempotent request is given up if another
 // attempt is possible: that takes another endpoint, enough time, and the retry
--- a/request/translator/own.go
+++ b/request/translator/own.go
@@ -32,8 +32,8 @@
 
 // ReadResponse returns the request id that the target echoed. The echo of the request id is optional, and
 // every response counts as verified.
-func (Own) ReadResponse(resp *fasthttp.Response) ResponseMetadata {
-	return ResponseMetadata{RequestID: string(resp.Header.Peek(checker.HeaderRequestID)), Verified: true}
+func (Own) ReadResponse(h *fasthttp.ResponseHeader) ResponseMetadata {
+	return ResponseMetadata{RequestID: string(h.Peek(checker.HeaderRequestID)), Verified: true}
 }
 
 // WriteRejection replaces resp by a response with a JSON body of outcome, reason and
--- a/request/translator/translator.go
+++ b/request/translator/translator.go
@@ -10,7 +10,7 @@
 //	var t translator.Translator = translator.Own{}
 //	caller, err := t.ReadRequest(&x.Request.Header, time.Now())
 //	t.WriteRequest(&x.Request.Header, translator.ForwardMetadata{RequestID: id, ...})
-//	metadata := t.ReadResponse(&x.Response)
+//	metadata := t.ReadResponse(&x.Response.Header)
 //	t.WriteRejection(&x.Response, translator.Rejection{Report: report, Detail: why})
 package translator
 
@@ -90,8 +90,22 @@
 // ResponseMetadata is read from the headers of a target's response.
 type ResponseMetadata struct {
 	RequestID string // RequestID is the id that the target echoed, empty without one.
-	NotRun    bool   // NotRun means that the target states that it did not run the request.
-	Verified  bool   // Verified means that the response passed all checks that it is complete and the target's own.
+	// EchoMissing means that the response names no request although the interface
+	// requires it, so that it may be to another request.
+	EchoMissing bool
+	NotRun      bool // NotRun means that the target states that it did not run the request.
+	Verified    bool // Verified means that the response passed all checks that it is complete and the target's own.
+}
+
+// MatchRequest compares the response with the request that waits for it.
+func (m ResponseMetadata) MatchRequest(requestID string) forwarder.Match {
+	switch {
+	case m.EchoMissing:
+		return forwarder.MatchNone
+	case m.RequestID != "" && m.RequestID != requestID:
+		return forwarder.MatchForeign
+	}
+	return forwarder.MatchOwn
 }
 
 // Rejection is a response that a node sends in place of a target's.
@@ -110,7 +124,7 @@
 	// WriteRequest sets the headers of a request that is forwarded to a target.
 	WriteRequest(h *fasthttp.RequestHeader, o ForwardMetadata)
 	// ReadResponse reads the metadata of a target's response.
-	ReadResponse(resp *fasthttp.Response) ResponseMetadata
+	ReadResponse(h *fasthttp.ResponseHeader) ResponseMetadata
 	// WriteRejection replaces resp by a response of the node.
 	WriteRejection(resp *fasthttp.Response, r Rejection)
 	// FinishResponse prepares the headers of a target's response for the caller.
