Send no request again on the connection on which it was rejected

The entry node forgets its rejections when it gets a newer table (refreshTable), and a caller may use an id again; the request id goes on as it came and cannot be changed. A target that writes the first rejection once more, and then runs the request, sends a stale rejection that names the right request: 503 for a request that ran.

Evidence, without the change: TestRetryAfterRejectionIgnoresTheRejection: status 503, body "{"error":"shed: the target rejected the request"}", ran 1 times

Change: a connection stores the hashes of the ids that were rejected on it, and such a request takes another idle connection, or a new one in place of an idle one if no more may be opened. A connection with 256 rejections is not reused: the set is bounded, and costs one new connection in 256 rejections at most.

After: the test passes (200, ran once); TestRejectionsOfAConnectionAreBounded passes, and fails when the bound is taken out.

--- a/request/executor/executor.go
+++ b/request/executor/executor.go
@@ -338,10 +338,10 @@
 // identity returns how the response to an order is told from the responses to other
 // requests on the same connection. Responses that are not to the order are recorded.
 func (x *Executor) identity(t *registrar.Target, o Order) forwarder.Identity {
-	return forwarder.Identity{Match: func(h *fasthttp.ResponseHeader) forwarder.Match {
+	return forwarder.Identity{ID: o.RequestID, Match: func(h *fasthttp.ResponseHeader) forwarder.Match {
 		metadata := x.Translator.ReadResponse(h)
 		match := metadata.MatchRequest(o.RequestID)
-		if match != forwarder.MatchOwn {
+		if match == forwarder.MatchForeign || match == forwarder.MatchNone {
 			x.recordForeignResponse(t, o, h.StatusCode(), metadata)
 		}
 		return match
--- a/request/forwarder/conn.go
+++ b/request/forwarder/conn.go
@@ -53,6 +53,9 @@
 	counting     bool  // counting means that received bytes stay in memory until the response ends.
 	countedBytes int64 // countedBytes is this connection's part of bufferedBytes.
 
+	// rejections is used by the reading goroutine, and by Forwarder while the connection is idle.
+	rejections rejections
+
 	mu          sync.Mutex
 	current     *call
 	writing     bool // writing means that the request is not sent completely.
@@ -214,7 +217,7 @@
 	}
 	framed := h.ContentLength() != -2
 	pc.readIdleTimeout(h)
-	reusable := framed && !h.ConnectionClose() && h.IsHTTP11()
+	reusable := framed && !h.ConnectionClose() && h.IsHTTP11() && len(pc.rejections) < maxRejections
 	if c.req.Header.IsHead() || h.StatusCode() == fasthttp.StatusNoContent || h.StatusCode() == fasthttp.StatusNotModified {
 		c.resp.SkipBody = true
 		c.signalStreamStart()
@@ -247,6 +250,10 @@
 		case MatchOwn:
 			c.acknowledged.Store(true)
 			return nil
+		case MatchRejected:
+			c.acknowledged.Store(true)
+			pc.rejections = pc.rejections.add(c.identity)
+			return nil
 		case MatchNone:
 			return &Error{"do", KindUnmatched, errors.New("the response does not name the request that it is to")}
 		}
--- a/request/forwarder/forwarder.go
+++ b/request/forwarder/forwarder.go
@@ -26,6 +26,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -275,14 +276,12 @@
 func (f *Forwarder) acquire(ctx context.Context, c *call, deadline time.Time) (*persistConn, error) {
 	for {
 		f.mu.Lock()
-		n := len(f.idle)
-		if n == 0 {
+		pc, usable := f.takeIdle(c.identity)
+		if pc == nil {
 			break
 		}
-		pc := f.idle[n-1]
-		f.idle = f.idle[:n-1]
 		f.mu.Unlock()
-		if pc.begin(c) {
+		if usable && pc.begin(c) {
 			return pc, nil
 		}
 		pc.close()
@@ -304,6 +303,25 @@
 	return pc, nil
 }
 
+// takeIdle takes the most recently used idle connection on which the request was not
+// rejected. If there is none and no connection may be opened, it takes another one, which
+// the caller closes, and returns false. It returns nil if there is none to take. f.mu is
+// held.
+func (f *Forwarder) takeIdle(id Identity) (*persistConn, bool) {
+	for i, pc := range slices.Backward(f.idle) {
+		if !pc.rejections.has(id) {
+			f.idle = slices.Delete(f.idle, i, i+1)
+			return pc, true
+		}
+	}
+	if len(f.idle) == 0 || f.MaxConnections == 0 || f.openCount < f.MaxConnections {
+		return nil, false
+	}
+	pc := f.idle[0]
+	f.idle = slices.Delete(f.idle, 0, 1)
+	return pc, false
+}
+
 // addOpen changes the number of open connections by n, which may be negative. It takes
 // the lock itself.
 func (f *Forwarder) addOpen(n int) {
--- a/request/forwarder/identity_test.go
+++ b/request/forwarder/identity_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"io"
 	"net"
+	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -103,3 +105,32 @@
 	<-ended
 	is.Equal(string(body), "ok")
 }
+
+// TestRejectionsOfAConnectionAreBounded guards against a set of rejected requests that
+// grows with each rejection, and against a new connection for each of them.
+func TestRejectionsOfAConnectionAreBounded(t *testing.T) {
+	is := is.New(t)
+	var connections atomic.Int64
+	address := startTarget(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+		connections.Add(1)
+		for {
+			if _, ok := readHeader(r); !ok {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	f := &Forwarder{Address: address, MaxConnections: 1}
+	rejected := func(*fasthttp.ResponseHeader) Match { return MatchRejected }
+	for i := range 3 * maxRejections {
+		id := Identity{ID: strconv.Itoa(i), Match: rejected}
+		is.NoErr(f.Do(context.Background(), newRequest("/"), &fasthttp.Response{}, time.Now().Add(testTimeout), id))
+		f.mu.Lock()
+		for _, pc := range f.idle {
+			is.True(len(pc.rejections) < maxRejections)
+		}
+		f.mu.Unlock()
+	}
+	t.Logf("%d connections", connections.Load())
+	is.True(connections.Load() >= 3 && connections.Load() < maxRejections)
+}
--- a/request/receiver/request.go
+++ b/request/receiver/request.go
@@ -315,7 +315,7 @@
 // ownerIdentity returns how the owner node's response to an order is told from the
 // responses to other attempts on the same connection.
 func ownerIdentity(o executor.Order) forwarder.Identity {
-	return forwarder.Identity{Match: func(h *fasthttp.ResponseHeader) forwarder.Match {
+	return forwarder.Identity{ID: o.AttemptID, Match: func(h *fasthttp.ResponseHeader) forwarder.Match {
 		switch string(h.Peek(checker.HeaderAttempt)) {
 		case o.AttemptID:
 			return forwarder.MatchOwn
--- a/request/translator/translator.go
+++ b/request/translator/translator.go
@@ -104,6 +104,8 @@
 		return forwarder.MatchNone
 	case m.RequestID != "" && m.RequestID != requestID:
 		return forwarder.MatchForeign
+	case m.NotRun:
+		return forwarder.MatchRejected
 	}
 	return forwarder.MatchOwn
 }
