Name the bound, not the unlocked count, when all connections are in use

The message of KindNoConn read the number of open connections after the lock was released: a data race with the goroutines that close connections, without an effect on any outcome. The bound is the same number there.

--- a/request/forwarder/forwarder.go
+++ b/request/forwarder/forwarder.go
@@ -288,7 +288,7 @@
 	}
 	if f.MaxConnections > 0 && f.openCount >= f.MaxConnections {
 		f.mu.Unlock()
-		return nil, &Error{"do", KindNoConn, errors.Errorf("all %d connections are in use", f.openCount)}
+		return nil, &Error{"do", KindNoConn, errors.Errorf("all %d connections are in use", f.MaxConnections)}
 	}
 	f.openCount++
 	f.mu.Unlock()
