Close an idle connection in the step that finds it idle

What callers see: a request without an end, past its deadline, that keeps its slot at the target for good; sent or not, nothing comes after it.

Cause: when a peer closes an idle connection or writes stray bytes to it, the reading goroutine found that no call was pending, and closed the connection in a second step. A call that began in between had no reader any more. At its deadline it waited for the end of the reader, which had ended before.

Change: the check and the mark as closed are one critical section (callOrClose), so that the call takes another connection.

--- a/request/forwarder/conn.go
+++ b/request/forwarder/conn.go
@@ -154,9 +154,8 @@
 func (pc *persistConn) readLoop() {
 	for {
 		_, err := pc.br.Peek(1)
-		c := pc.currentCall()
+		c := pc.callOrClose()
 		if c == nil {
-			pc.close()
 			return
 		}
 		reusable := false
@@ -178,11 +177,19 @@
 	}
 }
 
-// currentCall returns the call whose response is pending, nil if there is none.
-func (pc *persistConn) currentCall() *call {
+// callOrClose returns the call whose response is pending. If there is none, it closes
+// the connection in the same step, so that no call can begin without a reader, and
+// returns nil.
+func (pc *persistConn) callOrClose() *call {
 	pc.mu.Lock()
-	defer pc.mu.Unlock()
-	return pc.current
+	c := pc.current
+	closing := c == nil && !pc.closed
+	pc.closed = pc.closed || closing
+	pc.mu.Unlock()
+	if closing {
+		pc.release()
+	}
+	return c
 }
 
 // errorOrNotSent returns errNotSent if the request was never written, else err.
@@ -359,9 +366,14 @@
 	closed := pc.closed
 	pc.closed = true
 	pc.mu.Unlock()
-	if closed {
-		return
+	if !closed {
+		pc.release()
 	}
+}
+
+// release closes the socket of a connection that has just been marked as closed, and
+// removes the connection from the pool.
+func (pc *persistConn) release() {
 	_ = pc.netConn.Close()
 	pc.forwarder.remove(pc)
 }
