Call further control hosts when one does not reply in time

Callers saw: a request more than 2 s after the acknowledgement of an edit was handled as an older version says (404 for an added route), at a node that called itself ready.

Cause: a node called one control host after the other, 1.2 s each, with pauses that grew to 2 s (3 s with jitter), and dials with a backoff of their own of the same length. Two of three hosts that hang, or an outage that ends, kept a node behind for longer than the bound; nothing limited the age of the table meanwhile, and an update that could not be compiled was requested again in the same form for ever.

Change: calls in rounds. A second host is called 0.2 s after the reply of the first was due, further ones every 0.15 s, the next one at once after a failed call; the first confirmed reply ends the round. The pause after a round without one is below half a second, and the connections to its hosts are dialled anew. TableStore stores until when the table counts as current, and whether an outage was seen; a call that ended long after its timeout is a stall of this process and no outage. Ready is false while the confirmation is too old and no outage is known.

Observability: lines for each new version (host, how long the host had it, time of the call, time to apply), each round with failed calls (host, step, time, age of the confirmation, ready), confirmations that are late and that come back, stalls of the process; gauges of the version and of the confirmation's age, counters of failed steps, hedged calls and stalls.

--- a/connection/messenger/message.go
+++ b/connection/messenger/message.go
@@ -119,6 +119,9 @@
 	Confirmed bool
 	Update    []byte   // Update is the output of differ.Pack.
 	Hosts     []string // Hosts are the addresses of all control hosts.
+	// VersionAge is how long the control host has had the configuration version of the
+	// update, zero when it does not know. It is an age, since clocks differ between hosts.
+	VersionAge time.Duration
 }
 
 // CommandArgs proposes a command to a group.
--- a/connection/messenger/messenger.go
+++ b/connection/messenger/messenger.go
@@ -99,6 +99,8 @@
 	WrapConn      func(net.Conn) net.Conn // WrapConn, when set, wraps each new connection.
 	DialTimeout   time.Duration           // DialTimeout is dialer.DefaultDialTimeout when zero.
 	MaxBackoff    time.Duration           // MaxBackoff is dialer.DefaultMaxBackoff when zero.
+	// DialContext establishes a connection; net.Dialer.DialContext is used when nil.
+	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu      sync.Mutex
 	clients map[string]*dialer.Client
@@ -116,7 +118,7 @@
 	}
 	c := &dialer.Client{
 		Address: address, Limits: framer.Limits{MaxFrameBytes: p.MaxFrameBytes}, Preface: Preface(p.Preface), WrapConn: p.WrapConn,
-		DialTimeout: p.DialTimeout, MaxBackoff: p.MaxBackoff,
+		DialTimeout: p.DialTimeout, MaxBackoff: p.MaxBackoff, DialContext: p.DialContext,
 	}
 	p.clients[address] = c
 	return c
--- /dev/null
+++ b/process/subscriber/round.go
@@ -0,0 +1,286 @@
+package subscriber
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hornbeamrack/hornbeamrack/connection/assigner"
+	"github.com/hornbeamrack/hornbeamrack/connection/dialer"
+	"github.com/hornbeamrack/hornbeamrack/connection/messenger"
+	"github.com/hornbeamrack/hornbeamrack/version/compiler"
+	"github.com/hornbeamrack/hornbeamrack/version/differ"
+)
+
+const (
+	// syncWait is how long a control host may hold a call open when it has no update.
+	syncWait = 700 * time.Millisecond
+	// hedgeDelay is how much longer than that a reply may take before a second host is
+	// called too, and hedgeInterval the time until a further one is.
+	hedgeDelay    = 200 * time.Millisecond
+	hedgeInterval = 150 * time.Millisecond
+	// hedgeTimeout bounds each of these calls. syncTimeout bounds the first call of a
+	// round, and all calls of a node that has no configuration: the whole state takes
+	// longer to send.
+	hedgeTimeout = 600 * time.Millisecond
+	syncTimeout  = syncWait + 500*time.Millisecond
+	// hostDialTimeout is short, since the node can call another control host.
+	hostDialTimeout = 400 * time.Millisecond
+	// maxRoundCalls bounds the calls of one round. With all of them hanging, the round
+	// ends before the confirmation of the round before it becomes stale.
+	maxRoundCalls = 4
+)
+
+// syncStep is the step of an update's way to the node at which a call failed.
+type syncStep string
+
+// The steps at which a call can fail.
+const (
+	stepNone    syncStep = ""
+	stepHosts   syncStep = "hosts"   // stepHosts means that the reply has control hosts that the node did not have.
+	stepDial    syncStep = "dial"    // stepDial means that no connection was established.
+	stepReply   syncStep = "reply"   // stepReply means that no complete reply came in time.
+	stepConfirm syncStep = "confirm" // stepConfirm means that the host found no leader to confirm its state.
+	stepDecode  syncStep = "decode"  // stepDecode means that the update could not be decoded.
+	stepApply   syncStep = "apply"   // stepApply means that the update could not be applied or compiled.
+	stepStall   syncStep = "stall"   // stepStall means that this process got no processor time, so the host may have replied.
+)
+
+// syncCall is one call of a round.
+type syncCall struct {
+	host      string
+	args      messenger.SyncArgs
+	startedAt time.Time
+	timeoutAt time.Time
+}
+
+// syncReply is the outcome of a call.
+type syncReply struct {
+	syncCall
+	reply messenger.SyncReply
+	err   error
+}
+
+// round is a series of calls to different control hosts that ends with the first
+// confirmed reply. Further hosts are called at once after a failed call, and beside the
+// calls before them when these take too long: hedged requests. It is used by one goroutine.
+type round struct {
+	s        *Subscriber
+	picker   *assigner.Assigner
+	replies  chan syncReply
+	open     []syncCall // open are the calls without a reply.
+	calls    []syncCall // calls are all calls in order.
+	excluded []string   // excluded are the hosts that this round does not call again.
+	failures []string   // failures describe the failed calls, for the log.
+	rejected bool       // rejected means that a host sent an update that the node could not apply.
+	stalled  bool       // stalled means that the process got no processor time during the round.
+}
+
+// syncRound runs one round and reports whether the table was confirmed.
+func (s *Subscriber) syncRound(ctx context.Context, picker *assigner.Assigner) bool {
+	roundCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r := &round{s: s, picker: picker, replies: make(chan syncReply, maxRoundCalls)}
+	host, ok := r.run(roundCtx)
+	cancel()
+	if ctx.Err() != nil {
+		return false
+	}
+	r.abandonOpenCalls()
+	r.closeConnections(host)
+	s.setConnected(ok, host)
+	r.logFailures(host)
+	if !ok && !r.rejected && !r.stalled {
+		s.Tables.ReportOutage()
+	}
+	return ok
+}
+
+// run makes the calls. It returns the host whose reply was confirmed.
+func (r *round) run(ctx context.Context) (string, bool) {
+	r.callNext(ctx)
+	hedge := time.NewTimer(r.firstHedge())
+	defer hedge.Stop()
+	for len(r.open) > 0 {
+		select {
+		case reply := <-r.replies:
+			r.open = slices.DeleteFunc(r.open, func(c syncCall) bool { return c.host == reply.host })
+			step, err := r.s.accept(reply)
+			if step == stepNone {
+				return reply.host, true
+			}
+			r.recordFailure(reply, step, err)
+			r.callNext(ctx)
+			if r.ready() {
+				hedge.Reset(hedgeInterval)
+			}
+		case <-hedge.C:
+			if r.callNext(ctx) {
+				hedgesTotal.Inc()
+			}
+			hedge.Reset(hedgeInterval)
+		case <-ctx.Done():
+			return "", false
+		}
+	}
+	return "", false
+}
+
+// ready reports whether the node only needs changes. Without a configuration it requests
+// the whole state, which takes longer, from one host at a time.
+func (r *round) ready() bool {
+	return len(r.calls) > 0 && r.calls[len(r.calls)-1].args.Have != (differ.Have{})
+}
+
+// firstHedge returns how long the first call may take before another host is called
+// beside it.
+func (r *round) firstHedge() time.Duration {
+	if !r.ready() {
+		return syncTimeout
+	}
+	return r.calls[0].args.Wait + hedgeDelay
+}
+
+// callNext calls the next host that this round has not called, and reports whether there
+// is one.
+func (r *round) callNext(ctx context.Context) bool {
+	left := slices.DeleteFunc(r.s.Hosts.List(), func(h string) bool { return slices.Contains(r.excluded, h) })
+	if len(left) == 0 || len(r.calls) == maxRoundCalls {
+		return false
+	}
+	first := len(r.calls) == 0
+	c := syncCall{host: r.picker.Pick(left, time.Now()), args: r.s.syncArgs(first), startedAt: r.s.Now()}
+	limit := hedgeTimeout
+	if first || c.args.Have == (differ.Have{}) {
+		limit = syncTimeout
+	}
+	c.timeoutAt = c.startedAt.Add(limit)
+	r.calls, r.open, r.excluded = append(r.calls, c), append(r.open, c), append(r.excluded, c.host)
+	client := r.s.pool.Get(c.host)
+	go func() {
+		callCtx, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
+		out := syncReply{syncCall: c}
+		out.err = client.Call(callCtx, messenger.MethodSync, c.args, &out.reply)
+		r.replies <- out
+	}()
+	return true
+}
+
+// recordFailure records a call without a confirmed reply.
+func (r *round) recordFailure(reply syncReply, step syncStep, err error) {
+	r.s.requeueEvidence(reply.args)
+	if step == stepHosts {
+		// The host works; the node may only be assigned to another one of the new list.
+		r.excluded = slices.DeleteFunc(r.excluded, func(h string) bool { return h == reply.host })
+		return
+	}
+	r.rejected = r.rejected || step == stepDecode || step == stepApply
+	if step == stepReply && r.s.Now().After(reply.timeoutAt.Add(stallTolerance)) {
+		r.stalled, step = true, stepStall
+	}
+	if step != stepStall {
+		r.picker.RecordFailure(reply.host, time.Now())
+	}
+	r.addFailure(reply.syncCall, step, err)
+}
+
+// addFailure counts a failed call and stores its description.
+func (r *round) addFailure(c syncCall, step syncStep, err error) {
+	failuresTotal(step).Inc()
+	text := fmt.Sprintf("%s %s after %dms", c.host, step, r.s.Now().Sub(c.startedAt).Milliseconds())
+	if step == stepDecode || step == stepApply {
+		text += ": " + err.Error()
+	}
+	r.failures = append(r.failures, text)
+}
+
+// abandonOpenCalls records the calls without a reply as failed.
+func (r *round) abandonOpenCalls() {
+	for _, c := range r.open {
+		r.s.requeueEvidence(c.args)
+		r.picker.RecordFailure(c.host, time.Now())
+		r.addFailure(c, stepReply, nil)
+	}
+}
+
+// closeConnections closes the connections to all hosts of the round but the one to keep,
+// so that no later call waits behind a call that was abandoned.
+func (r *round) closeConnections(keep string) {
+	for _, c := range r.calls {
+		if c.host != keep {
+			r.s.pool.Remove(c.host)
+		}
+	}
+}
+
+// logFailures logs a round with failed calls; host is the one that confirmed the table.
+func (r *round) logFailures(host string) {
+	if len(r.failures) == 0 || !r.s.AsyncLogger.AllowLine(lineFailures) {
+		return
+	}
+	r.s.Log.Warn(lineFailures, "confirmedBy", host, "failures", strings.Join(r.failures, ", "), "confirmationAgeMs", r.s.confirmationAge().Milliseconds(),
+		"configVersion", r.s.tableVersion(), "ready", r.s.Ready())
+}
+
+// requeueEvidence returns the evidence of a failed call to the provider.
+func (s *Subscriber) requeueEvidence(args messenger.SyncArgs) {
+	if s.Evidence != nil {
+		s.Evidence.RequeueEvidence(args.Report.Evidence)
+	}
+}
+
+// accept applies a reply, and confirms the table by it. It returns the step that failed,
+// stepNone when none did.
+func (s *Subscriber) accept(r syncReply) (syncStep, error) {
+	if r.err != nil {
+		if dialer.IsKind(r.err, dialer.KindUnreachable) {
+			return stepDial, r.err
+		}
+		return stepReply, r.err
+	}
+	receivedAt := s.Now()
+	s.Hosts.SetMembers(r.reply.Hosts)
+	if !r.reply.Confirmed {
+		if len(s.Hosts.List()) > r.args.Known {
+			return stepHosts, nil
+		}
+		return stepConfirm, nil
+	}
+	update, err := differ.Unpack(r.reply.Update)
+	if err != nil {
+		rejectedTotal.Inc()
+		return stepDecode, err
+	}
+	changed, err := s.apply(update, r.args.Have)
+	if err != nil {
+		rejectedTotal.Inc()
+		return stepApply, err
+	}
+	s.confirm(r.startedAt)
+	if changed {
+		s.logVersion(r, update, receivedAt)
+	}
+	return stepNone, nil
+}
+
+// confirm records that the table has every version that was acknowledged before the
+// time at.
+func (s *Subscriber) confirm(at time.Time) {
+	now := s.Now()
+	if f := s.Tables.Freshness(now); f != compiler.FreshnessCurrent {
+		s.Log.Warn("configuration confirmed again", "configVersion", s.tableVersion(), "confirmationAgeMs", s.confirmationAge().Milliseconds(), "before", f)
+	}
+	s.Tables.Confirm(at, at.Add(s.MaxConfirmationAge))
+}
+
+// logVersion logs that a new configuration version is in force.
+func (s *Subscriber) logVersion(r syncReply, u differ.Update, receivedAt time.Time) {
+	applied := s.Now()
+	total := r.reply.VersionAge + applied.Sub(receivedAt)
+	applySeconds.Update(total.Seconds())
+	s.Log.Info("configuration in force", "configVersion", u.Version, "from", r.args.Have.Version, "host", r.host, "hostHadMs", r.reply.VersionAge.Milliseconds(),
+		"callMs", receivedAt.Sub(r.startedAt).Milliseconds(), "applyMs", applied.Sub(receivedAt).Milliseconds())
+}
--- a/process/subscriber/subscriber.go
+++ b/process/subscriber/subscriber.go
@@ -1,11 +1,13 @@
 // Package subscriber receives configuration updates and keeps a node's table
 // current.
 //
-// It keeps a long-polling call open at one control host, applies each update as a
-// whole or not at all, and changes to another host when one does not reply or
-// cannot confirm that its state is current. Before the first confirmed update the
-// node has no table and rejects requests as not run; after that it continues to
-// serve with its last table through any outage of the control hosts.
+// It keeps a long-polling call open at one control host and applies each update as a
+// whole or not at all. When a host does not reply in time, or cannot confirm that its
+// state is current, others are called beside it, so that a few hosts that do not reply
+// delay no update beyond MaxConfirmationAge. Before the first confirmed update the node
+// has no table and rejects requests as not run. It continues to serve with its last
+// table through any outage of the control hosts, but it is not ready while its
+// confirmation is too old and a new one is expected.
 //
 // It also announces the node's targets, until its own table contains them.
 //
@@ -16,6 +18,7 @@
 package subscriber
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"slices"
@@ -23,11 +26,11 @@
 	"sync"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/cenkalti/backoff/v5"
 	"github.com/charmbracelet/log"
 	"github.com/sourcegraph/conc"
 
+	"github.com/hornbeamrack/hornbeamrack/common/clock"
 	"github.com/hornbeamrack/hornbeamrack/common/logger"
 	"github.com/hornbeamrack/hornbeamrack/common/sleeper"
 	"github.com/hornbeamrack/hornbeamrack/connection/assigner"
@@ -40,19 +43,16 @@
 	"github.com/hornbeamrack/hornbeamrack/version/differ"
 )
 
-// lineApplied is the kind, and the message, of the log lines on applied updates.
-const lineApplied = "update applied"
+// DefaultMaxConfirmationAge is how old the confirmation of a table may be before the
+// table counts as stale.
+const DefaultMaxConfirmationAge = 2 * time.Second
 
 const (
-	// syncWait is how long a control host may hold a call open when it has no update.
-	// After syncTimeout the node takes the host for unreachable, for example behind a
-	// network partition.
-	syncWait    = 700 * time.Millisecond
-	syncTimeout = syncWait + 500*time.Millisecond
-	// hostDialTimeout is short, since the node can call another control host.
-	hostDialTimeout = 400 * time.Millisecond
 	announceTimeout = 3 * time.Second
 	expireInterval  = 500 * time.Millisecond
+	// stallTolerance is how late the process may run after a timer before it counts as
+	// stalled: it got no processor time, or was stopped.
+	stallTolerance = 200 * time.Millisecond
 	// moveSyncWait replaces syncWait while a move runs. It is shorter, since each call
 	// carries the node's evidence on the new version.
 	moveSyncWait = 200 * time.Millisecond
@@ -61,9 +61,12 @@
 	// each call the leader must confirm that the state is current.
 	moveSyncWaitPerNode = 2500 * time.Microsecond
 	firstBackoff        = 50 * time.Millisecond
-	maxBackoff          = 2 * time.Second
-	// maxUnreadyBackoff bounds the backoff of a node that has no configuration yet.
+	// maxBackoff bounds the pause between two rounds of calls, and maxUnreadyBackoff that
+	// of a node that has no configuration yet.
+	maxBackoff        = 300 * time.Millisecond
 	maxUnreadyBackoff = 150 * time.Millisecond
+	// maxAnnounceBackoff bounds the pause between two announcements that failed.
+	maxAnnounceBackoff = 2 * time.Second
 )
 
 // EvidenceProvider collects the node's evidence on the versions of running moves.
@@ -88,6 +91,9 @@
 	Log         *log.Logger
 	AsyncLogger *logger.AsyncLogger     // AsyncLogger may be nil.
 	WrapConn    func(net.Conn) net.Conn // WrapConn, when set, wraps each connection for updates, to count bytes.
+	// MaxConfirmationAge is DefaultMaxConfirmationAge when zero.
+	MaxConfirmationAge time.Duration
+	Now                func() time.Time // Now is the clock of confirmations, clock.Now when nil.
 
 	pool messenger.Pool
 
@@ -99,22 +105,19 @@
 	leaving      bool
 	nameConflict bool          // nameConflict means that another node, which started later, has this node's name.
 	resync       bool          // resync makes the next call request the whole state.
-	confirmedAt  time.Time     // confirmedAt is the start of the last call with a confirmed reply.
-	connected    bool          // connected means that the last call succeeded.
+	connected    bool          // connected means that the last round of calls succeeded.
 	applied      chan struct{} // applied is closed when a table was stored.
 }
 
-var (
-	updatesTotal   = metrics.NewCounter("hornbeam_updates_total")
-	resyncsTotal   = metrics.NewCounter("hornbeam_resyncs_total")
-	conflictsTotal = metrics.NewCounter("hornbeam_name_conflicts_total")
-	rejectedTotal  = metrics.NewCounter("hornbeam_updates_rejected_total")
-)
-
 // Run receives updates and announces targets until ctx ends. It always returns nil.
 func (s *Subscriber) Run(ctx context.Context) error {
 	s.pool.Preface, s.pool.MaxFrameBytes, s.pool.WrapConn = messenger.PrefaceNode, messenger.MaxNodeFrameBytes, s.WrapConn
 	s.pool.DialTimeout = hostDialTimeout
+	s.MaxConfirmationAge = cmp.Or(s.MaxConfirmationAge, DefaultMaxConfirmationAge)
+	if s.Now == nil {
+		s.Now = clock.Now
+	}
+	s.registerMetrics()
 	s.mu.Lock()
 	s.incarnation = uint64(time.Now().UnixNano())
 	s.applied = make(chan struct{})
@@ -125,19 +128,15 @@
 	tasks.Go(func() { s.syncLoop(ctx) })
 	tasks.Go(func() { s.announceLoop(ctx) })
 	tasks.Go(func() { s.expireLoop(ctx) })
+	tasks.Go(func() { s.monitorLoop(ctx) })
 	tasks.Wait()
 	return nil
 }
 
-// Ready reports whether the node has a confirmed configuration.
-func (s *Subscriber) Ready() bool { return s.Tables.Table() != nil }
-
-// ConfirmedAt returns the last time for which a control host confirmed that the
-// table was current; zero before the first confirmation.
-func (s *Subscriber) ConfirmedAt() time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.confirmedAt
+// Ready reports whether the node has a configuration that is current, or that no control
+// host can replace at present.
+func (s *Subscriber) Ready() bool {
+	return s.Tables.Table() != nil && s.Tables.Freshness(s.Now()) != compiler.FreshnessStale
 }
 
 // SectionEndsWith reports whether the named section is in force at this node and its
@@ -161,92 +160,56 @@
 }
 
 func (s *Subscriber) syncLoop(ctx context.Context) {
-	pause := newBackoff()
-	picker := assigner.Assigner{NodeName: s.Node}
-	previous := ""
+	pause := newBackoff(maxBackoff)
+	picker := &assigner.Assigner{NodeName: s.Node}
 	for ctx.Err() == nil {
-		address := picker.Pick(s.Hosts.List(), time.Now())
-		if previous != "" && address != previous {
-			s.pool.Remove(previous)
-		}
-		previous = address
-		if s.syncOnce(ctx, address) {
+		if s.syncRound(ctx, picker) {
 			pause.Reset()
 			continue
 		}
-		s.setConnected(false, address)
-		picker.RecordFailure(address, time.Now())
 		sleeper.Sleep(ctx, s.syncPause(pause))
 	}
 }
 
-// syncPause returns the pause before the next call. It is short while the node has
+// syncPause returns the pause before the next round. It is short while the node has
 // no configuration and so cannot serve requests.
 func (s *Subscriber) syncPause(b *backoff.ExponentialBackOff) time.Duration {
 	pause := b.NextBackOff()
-	if !s.Ready() {
+	if s.Tables.Table() == nil {
 		return min(pause, maxUnreadyBackoff)
 	}
 	return pause
 }
 
-func newBackoff() *backoff.ExponentialBackOff {
+func newBackoff(maxInterval time.Duration) *backoff.ExponentialBackOff {
 	b := backoff.NewExponentialBackOff()
-	b.InitialInterval, b.MaxInterval = firstBackoff, maxBackoff
+	b.InitialInterval, b.MaxInterval = firstBackoff, maxInterval
 	return b
 }
 
-// syncOnce makes one call and reports whether the host can be called again: its reply
-// was confirmed, or it contained control hosts that this node did not have.
-func (s *Subscriber) syncOnce(ctx context.Context, address string) bool {
-	callCtx, cancel := context.WithTimeout(ctx, syncTimeout)
-	defer cancel()
-	start := time.Now()
-	args := s.syncArgs()
-	var reply messenger.SyncReply
-	err := s.pool.Get(address).Call(callCtx, messenger.MethodSync, args, &reply)
-	if err == nil {
-		s.Hosts.SetMembers(reply.Hosts)
-	}
-	if err != nil || !reply.Confirmed {
-		if s.Evidence != nil {
-			s.Evidence.RequeueEvidence(args.Report.Evidence)
-		}
-		return len(s.Hosts.List()) > args.Known
-	}
-	update, err := differ.Unpack(reply.Update)
-	if err == nil {
-		err = s.apply(update, args.Have)
-	}
-	if err != nil {
-		rejectedTotal.Inc()
-		s.Log.Warn("update rejected", "from", address, "err", err)
-		return false
-	}
-	s.mu.Lock()
-	s.confirmedAt = start
-	s.mu.Unlock()
-	s.setConnected(true, address)
-	return true
-}
-
-// syncArgs returns the arguments of the next call.
-func (s *Subscriber) syncArgs() messenger.SyncArgs {
+// syncArgs returns the arguments of a call. Only the first call of a round carries
+// evidence and waits for a change.
+func (s *Subscriber) syncArgs(first bool) messenger.SyncArgs {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	list, _ := s.Registrar.List()
-	args := messenger.SyncArgs{Wait: syncWait, Known: len(s.Hosts.List()), Report: messenger.NodeReport{
+	args := messenger.SyncArgs{Known: len(s.Hosts.List()), Report: messenger.NodeReport{
 		Node: s.Node, Incarnation: s.incarnation, DataCentre: s.DataCentre,
 		Version: s.snapshot.Version, Revision: s.snapshot.Revision, Targets: len(list), Leaving: s.leaving,
 	}}
 	if s.Tables.Table() != nil && !s.resync {
 		args.Have = s.position
-	} else {
-		args.Wait = 0
+	}
+	if !first {
+		return args
 	}
 	if s.Evidence != nil {
 		args.Report.Evidence = s.Evidence.TakeEvidence()
 	}
+	if args.Have == (differ.Have{}) || !s.connected {
+		return args
+	}
+	args.Wait = syncWait
 	if slices.ContainsFunc(s.snapshot.Traffics, func(t applier.Traffic) bool { return t.Move != nil && t.Move.Running() }) {
 		args.Wait = min(args.Wait, moveSyncWaitFor(s.Tables.Table()))
 	}
@@ -262,54 +225,60 @@
 	return max(moveSyncWait, time.Duration(t.NodeCount)*moveSyncWaitPerNode)
 }
 
-func (s *Subscriber) setConnected(connected bool, address string) {
+// setConnected stores whether the last round of calls succeeded.
+func (s *Subscriber) setConnected(connected bool, host string) {
 	s.mu.Lock()
 	changed := s.connected != connected
 	s.connected = connected
 	s.mu.Unlock()
 	if changed {
-		s.Log.Info("control host connection changed", "connected", connected, "host", address)
+		s.Log.Info("control host connection changed", "connected", connected, "host", host)
 	}
 }
 
 // apply applies an update as a whole: the update is merged with the snapshot, checked
 // by its digest, compiled, and the new table then replaces the old one in one step.
-// On an error the old table stays in force. base is the position that the call sent.
-func (s *Subscriber) apply(u differ.Update, base differ.Have) error {
+// On an error the old table stays in force, and the next call requests the whole state.
+// base is the position that the call sent. The first result reports whether the
+// configuration version changed.
+func (s *Subscriber) apply(u differ.Update, base differ.Have) (bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.Tables.Table() != nil && u.EmptyFor(base) && u.Digest == base.Digest && u.EndpointsHash == base.EndpointsHash {
-		return nil
+		return false, nil
 	}
 	next, err := differ.Apply(s.snapshot, u)
 	if err != nil {
 		resyncsTotal.Inc()
 		s.resync = true
-		return err
+		return false, err
 	}
 	table, err := s.compiler.Compile(next)
 	if err != nil {
-		return err
+		s.resync = true
+		return false, err
 	}
 	if err := s.Tables.Store(table); err != nil {
-		return err
+		return false, err
 	}
+	changed := s.snapshot.Version != u.Version
 	s.snapshot, s.resync = next, false
 	s.position = differ.Have{Version: u.Version, Digest: u.Digest, Revision: u.Revision, EndpointsHash: u.EndpointsHash}
 	updatesTotal.Inc()
+	versionGauge.Set(float64(u.Version))
 	if s.AsyncLogger.AllowLine(lineApplied) {
 		s.AsyncLogger.Info(lineApplied, "configVersion", u.Version, "from", base.Version, "revision", u.Revision, "sections", len(u.Sections),
 			"endpoints", len(u.Endpoints), "gone", len(u.Gone), "total", len(next.Endpoints))
 	}
 	close(s.applied)
 	s.applied = make(chan struct{})
-	return nil
+	return changed, nil
 }
 
 // announceLoop announces the node's targets whenever the table lists other targets
 // for this node.
 func (s *Subscriber) announceLoop(ctx context.Context) {
-	pause := newBackoff()
+	pause := newBackoff(maxAnnounceBackoff)
 	var sent announcer
 	for ctx.Err() == nil {
 		list, changed := s.Registrar.List()
--- a/process/subscriber/subscriber_test.go
+++ b/process/subscriber/subscriber_test.go
@@ -30,7 +30,8 @@
 	changes := 0
 	for range 20 {
 		for _, s := range nodes {
-			is.NoErr(s.apply(differ.NewUpdate(state, differ.SnapshotOf(state).Position(), differ.Have{}), differ.Have{}))
+			_, err := s.apply(differ.NewUpdate(state, differ.SnapshotOf(state).Position(), differ.Have{}), differ.Have{})
+			is.NoErr(err)
 			list, _ := s.Registrar.List()
 			a, _, due := s.announcement(list)
 			if !due {
--- a/version/compiler/compiler.go
+++ b/version/compiler/compiler.go
@@ -26,8 +26,6 @@
 	"fmt"
 	"slices"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -295,53 +293,3 @@
 // Routes returns all routes, the longest path first; the caller must not modify
 // the list.
 func (t *Table) Routes() []*Route { return t.routes }
-
-// TableStore holds the table in force. Its readers are safe for concurrent use.
-type TableStore struct {
-	table atomic.Pointer[Table]
-
-	mu      sync.Mutex
-	changed chan struct{} // changed is closed when the next table is in force.
-}
-
-// Newer returns a channel that is closed once another table than t is in force.
-func (s *TableStore) Newer(t *Table) <-chan struct{} {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.table.Load() != t {
-		return closedChannel
-	}
-	if s.changed == nil {
-		s.changed = make(chan struct{})
-	}
-	return s.changed
-}
-
-// closedChannel is returned when a newer table is in force already.
-var closedChannel = func() chan struct{} {
-	c := make(chan struct{})
-	close(c)
-	return c
-}()
-
-// Table returns the table in force, nil before the first.
-func (s *TableStore) Table() *Table { return s.table.Load() }
-
-// Store puts a table in force. Neither the configuration version nor the endpoint
-// revision ever decreases: Store returns an error of KindOlder for an older
-// version and keeps the table in force, differ.Apply rejects older revisions. Only
-// one goroutine calls Store.
-func (s *TableStore) Store(t *Table) error {
-	old := s.table.Load()
-	if old != nil && t.Version < old.Version {
-		return &Error{"put", KindOlder, errors.Errorf("table of version %d is older than version %d in force", t.Version, old.Version)}
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.table.Store(t)
-	if s.changed != nil {
-		close(s.changed)
-		s.changed = nil
-	}
-	return nil
-}
