Deny and serve nothing by a table whose confirmation is too old

Callers saw: 404 for a route that had been added more than 2 s before, and requests handled by an older configuration, at nodes that got no processor time or no reply.

Cause: a node answered by its last table whatever the age of its confirmation. A process that got processor time again answered the requests that had waited before it had called a control host.

Change: the receiver reads the freshness before the table. While the confirmation is too old and a new one may come, a request waits for it for up to 0.3 s, then gets 503 notReady with Retry-After. In an outage of the control hosts the node serves the routes of its last table at once, as before, and answers 503 in place of 404. Requests that match no route had no log line; now they have one, and every line on a request has the age of the confirmation and the version that the request was matched by.

--- a/process/configurer/configurer.go
+++ b/process/configurer/configurer.go
@@ -48,11 +48,17 @@
 	DefaultDrainTime = 2 * time.Second
 	// DefaultStopTime bounds the wait for requests in flight at a planned stop.
 	DefaultStopTime = 30 * time.Second
+	// DefaultMaxConfirmationAge is how old the last confirmation of a node's configuration
+	// may be before the node is no longer ready.
+	DefaultMaxConfirmationAge = 2 * time.Second
 	// DefaultClaimLifetime is how long the claim of an idempotency key is stored.
 	DefaultClaimLifetime = 24 * time.Hour
 
-	maxControlHosts    = 7
-	maxPort            = 65535
+	maxControlHosts = 7
+	maxPort         = 65535
+	// minConfirmationAge is longer than a node's call to a control host waits for a change,
+	// so that a node without a fault is always ready.
+	minConfirmationAge = 1500 * time.Millisecond
 	minElectionTimeout = 200 * time.Millisecond
 	maxElectionTimeout = 10 * time.Second
 	// maxToleratedLosses bounds Control.ToleratedLosses: every edit waits for the disks
@@ -161,6 +167,9 @@
 	LinkMbps         float64          `yaml:"linkMbps"`        // LinkMbps is the rate of the host's network link in megabits a second, 0 when unknown.
 	ClaimLifetime    decoder.Duration `yaml:"claimLifetime"`   // ClaimLifetime is how long the claim of an idempotency key is stored.
 	DrainTime        decoder.Duration `yaml:"drainTime"`       // DrainTime is how long a stopping node still accepts other nodes' requests.
+	// MaxConfirmationAge is how old the last confirmation of the configuration by a control
+	// host may be before the node is no longer ready.
+	MaxConfirmationAge decoder.Duration `yaml:"maxConfirmationAge"`
 }
 
 // Control holds the settings of the control role.
@@ -330,6 +339,12 @@
 	if n.QueueLimit == 0 {
 		n.QueueLimit = parser.DefaultQueue
 	}
+	if n.MaxConfirmationAge == 0 {
+		n.MaxConfirmationAge = decoder.Duration(DefaultMaxConfirmationAge)
+	}
+	if age := n.MaxConfirmationAge.AsDuration(); age < minConfirmationAge {
+		c.fail("$.node.maxConfirmationAge", fmt.Sprintf("use %s or more", minConfirmationAge), "maxConfirmationAge is %s", age)
+	}
 	if n.ClaimLifetime == 0 {
 		n.ClaimLifetime = decoder.Duration(DefaultClaimLifetime)
 	}
--- a/process/proxier/proxier.go
+++ b/process/proxier/proxier.go
@@ -158,6 +158,7 @@
 	p.subscriber = &subscriber.Subscriber{
 		Node: p.Settings.Name, DataCentre: p.Settings.DataCentre, Address: n.PeerAddress, Hosts: p.Hosts,
 		Tables: &p.tables, Registrar: p.registrar, Evidence: p.observer, Client: client, Log: p.Log, AsyncLogger: p.AsyncLogger, WrapConn: p.WrapConn,
+		MaxConfirmationAge: n.MaxConfirmationAge.AsDuration(),
 	}
 	p.entry = &acceptor.Server{Handler: p.receiver.Handle, Limits: p.callerLimits}
 	p.peer = &acceptor.Server{Handler: p.executor.Handle, Limits: peerLimits}
@@ -217,7 +218,8 @@
 	return err
 }
 
-// Ready reports whether the node serves requests.
+// Ready reports whether the node is not stopping and has a configuration to serve by, as
+// Subscriber.Ready reports.
 func (p *Proxier) Ready() bool { return !p.draining.Load() && p.subscriber.Ready() }
 
 // Run serves until ctx ends, then stops without ending requests early, as far as the
--- a/request/receiver/log.go
+++ b/request/receiver/log.go
@@ -3,27 +3,50 @@
 import (
 	"time"
 
+	"github.com/hornbeamrack/hornbeamrack/common/clock"
+	"github.com/hornbeamrack/hornbeamrack/connection/acceptor"
 	"github.com/hornbeamrack/hornbeamrack/request/dispatcher"
 	"github.com/hornbeamrack/hornbeamrack/request/translator"
 )
 
 // The messages of the log lines: a target responded, the request ended without a
-// target's response, and an attempt failed that may be followed by another. Each
-// message has its own rate limit.
+// target's response, an attempt failed that may be followed by another, and a request
+// matched no route of a table. Each message has its own rate limit.
 const (
 	msgCompleted = "request completed"
 	msgRejected  = "request refused"
 	msgRetried   = "request attempt failed"
+	msgUnmatched = "request without a route refused"
 )
 
 // logFields returns the fields that every log line on a request has.
 func (v *Receiver) logFields(s *requestState) []any {
+	return []any{"id", s.caller.RequestID, "route", s.route.Host + s.route.Path, "service", s.service.Name, "targetVersion", s.version,
+		"configVersion", s.table.Version, "confirmationAgeMs", v.confirmationAge().Milliseconds(), "ageMs", time.Since(s.exchange.ReceivedAt).Milliseconds(), "leftMs", time.Until(s.deadline).Milliseconds(), "offers", len(s.tried)}
+}
+
+// confirmationAge returns the age of the confirmation of the table in force, zero before
+// the first.
+func (v *Receiver) confirmationAge() time.Duration {
+	at := v.Tables.ConfirmedAt()
+	if at.IsZero() {
+		return 0
+	}
+	return clock.Now().Sub(at)
+}
+
+// logUnmatched logs a request that was rejected before it matched a route.
+func (v *Receiver) logUnmatched(x *acceptor.Exchange, reason translator.Reason, detail string) {
+	if !v.Logger.AllowLine(msgUnmatched) {
+		return
+	}
 	version := uint64(0)
 	if t := v.Tables.Table(); t != nil {
 		version = t.Version
 	}
-	return []any{"id", s.caller.RequestID, "route", s.route.Host + s.route.Path, "service", s.service.Name, "targetVersion", s.version,
-		"configVersion", version, "ageMs", time.Since(s.exchange.ReceivedAt).Milliseconds(), "leftMs", time.Until(s.deadline).Milliseconds(), "offers", len(s.tried)}
+	h := &x.Request.Header
+	v.Logger.Warn(msgUnmatched, "method", string(h.Method()), "host", string(h.Host()), "path", string(x.Request.URI().Path()), "reason", reason, "detail", detail,
+		"configVersion", version, "confirmationAgeMs", v.confirmationAge().Milliseconds(), "ageMs", time.Since(x.ReceivedAt).Milliseconds())
 }
 
 // logResponse logs a request that got a target's response; only samples are logged.
--- a/request/receiver/receiver.go
+++ b/request/receiver/receiver.go
@@ -59,6 +59,14 @@
 	Table() *compiler.Table
 	// Newer returns a channel that is closed once another table is in force.
 	Newer(t *compiler.Table) <-chan struct{}
+	// Freshness states whether the table in force may lack a version at the time now, by
+	// the clock of package clock.
+	Freshness(now time.Time) compiler.Freshness
+	// NextReport returns a channel that is closed when the freshness may have changed
+	// other than by the passing of time.
+	NextReport() <-chan struct{}
+	// ConfirmedAt returns the time of the last confirmation, zero before the first.
+	ConfirmedAt() time.Time
 }
 
 // BreakerProvider is the circuit breaker of this node, which stops a move by the
@@ -172,7 +180,7 @@
 
 // handle does the steps of Handle up to the report: it rejects a request that is
 // malformed or poison, has no route, or arrives while the node is stopping or has no
-// table within maxTableWait, and dispatches any other.
+// current table in time, and dispatches any other.
 func (v *Receiver) handle(x *acceptor.Exchange) translator.Report {
 	req := &x.Request
 	if err := checker.Check(req); err != nil {
@@ -183,16 +191,13 @@
 		x.CloseAfterResponse()
 		return v.reject(x, translator.NotRun(translator.ReasonStopping), "this node is stopping", x.ReceivedAt.Add(stoppingRetryAfter))
 	}
-	table := v.Tables.Table()
-	if table == nil && v.awaitNewTable(x, nil, x.ReceivedAt.Add(maxTableWait)) {
-		table = v.Tables.Table()
-	}
+	table, freshness := v.currentTable(x)
 	if table == nil {
-		return v.reject(x, translator.NotRun(translator.ReasonNotReady), "this node has no confirmed configuration yet", x.ReceivedAt.Add(notReadyRetryAfter))
+		return v.rejectNotReady(x, notReadyDetail(freshness))
 	}
 	route, ok := table.Match(string(req.Header.Host()), string(req.Header.Method()), checker.Path(req))
 	if !ok {
-		return v.reject(x, translator.NotRun(translator.ReasonNoRoute), "the configuration has no route for this host, method and path", time.Time{})
+		return v.rejectNoRoute(x, freshness)
 	}
 	caller, err := v.Translator.ReadRequest(&req.Header, x.ReceivedAt)
 	if err != nil {
