Keep lines on state changes apart from lines on requests

The record of the incident holds 'log lines dropped lines=278' within a second at one node, and no line on when a node took a version.

Cause: all lines shared one buffer of 1024, so a busy second of requests dropped the lines on state changes too, and the count did not say which were lost.

Evidence: TestRequestLinesDropNoStateLine on the code of before, with both kinds through the one logger: the line 'state changed' is missing (not true: strings.Contains(..., "state changed")).

Change: two bounded buffers; lines on requests go through AsyncLogger.Requests, and the others are written first. The line on drops names state lines, lines on requests, and lines over the quota of their kind. Nothing blocks, as before (TestBlockedWriterDoesNotBlockCallers).

--- a/common/logger/logger.go
+++ b/common/logger/logger.go
@@ -1,18 +1,20 @@
 // Package logger writes log lines asynchronously, so that logging never blocks
 // the calling goroutine.
 //
-// Lines pass through a bounded buffer to one goroutine, which writes them. When
-// the buffer is full, lines are dropped and counted, and a later line reports the
-// number of dropped lines. Lines that are logged for each request are rate
-// limited by kind: ordinary events are sampled one in ten, and each kind, such as
-// rejections, has a limit of its own.
+// Lines pass through two bounded buffers to one goroutine, which writes them: one for
+// lines on state changes and one for lines on requests. The lines on state changes are
+// written first, so that a flood of requests drops none of them. When a buffer is full,
+// lines are dropped and counted, and a later line reports the numbers. Lines that are
+// logged for each request are also rate limited by kind: ordinary events are sampled one
+// in ten, and each kind, such as rejections, has a limit of its own.
 //
 // # Usage
 //
 //	l := logger.New(os.Stdout, "host-a", log.InfoLevel)
 //	defer l.Close()
+//	l.Info("role changed", "role", role)
 //	if l.AllowLine("request rejected") {
-//		l.Warn("request rejected", "id", id, "reason", reason)
+//		l.Requests.Warn("request rejected", "id", id, "reason", reason)
 //	}
 package logger
 
@@ -27,7 +29,7 @@
 )
 
 const (
-	bufferLines = 1024
+	bufferLines = 1024 // bufferLines is the size of each buffer.
 	// maxLinesPerSecond limits the lines of each kind.
 	maxLinesPerSecond = 20
 	// sampleEvery is the number of ordinary events of a kind for each one that is logged.
@@ -43,11 +45,13 @@
 // the other methods must not be called.
 type AsyncLogger struct {
 	*log.Logger
+	Requests *log.Logger // Requests is for lines on requests, which may be dropped before other lines are.
 
-	out     io.Writer
-	lines   chan []byte
-	done    chan struct{}
-	dropped atomic.Int64
+	out          io.Writer
+	stateLines   lineBuffer
+	requestLines lineBuffer
+	limited      atomic.Int64 // limited counts the lines that the quotas of their kinds rejected since the last report.
+	done         chan struct{}
 
 	mu     sync.Mutex
 	quotas map[string]*lineQuota
@@ -61,53 +65,96 @@
 	events      int
 }
 
+// lineBuffer is a bounded buffer of lines.
+type lineBuffer struct {
+	lines   chan []byte
+	dropped atomic.Int64 // dropped counts the lines that did not fit since the last report.
+}
+
+// Write queues a copy of one line, or drops and counts it if the buffer is full. It
+// never blocks and never returns an error.
+func (b *lineBuffer) Write(line []byte) (int, error) {
+	select {
+	case b.lines <- append([]byte(nil), line...):
+	default:
+		droppedTotal.Inc()
+		b.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
 // New returns a logger that writes lines of the given level or above to out, each
 // with the field process. It starts a goroutine that Close ends.
 func New(out io.Writer, process string, level log.Level) *AsyncLogger {
-	l := &AsyncLogger{out: out, lines: make(chan []byte, bufferLines), done: make(chan struct{}), quotas: map[string]*lineQuota{}}
-	base := log.NewWithOptions(l, log.Options{ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Formatter: log.LogfmtFormatter, Level: level})
-	l.Logger = base.With("process", process)
+	l := &AsyncLogger{out: out, done: make(chan struct{}), quotas: map[string]*lineQuota{}}
+	l.stateLines.lines, l.requestLines.lines = make(chan []byte, bufferLines), make(chan []byte, bufferLines)
+	options := log.Options{ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Formatter: log.LogfmtFormatter, Level: level}
+	l.Logger = log.NewWithOptions(&l.stateLines, options).With("process", process)
+	l.Requests = log.NewWithOptions(&l.requestLines, options).With("process", process)
 	go l.writeLines()
 	return l
 }
 
-// Write queues a copy of one line, or drops and counts it if the buffer is full. It
-// never blocks and never returns an error.
-func (l *AsyncLogger) Write(line []byte) (int, error) {
+// next returns the next line to write, or nil at the end.
+func (l *AsyncLogger) next() []byte {
 	select {
-	case l.lines <- append([]byte(nil), line...):
+	case line := <-l.stateLines.lines:
+		return line
 	default:
-		droppedTotal.Inc()
-		l.dropped.Add(1)
 	}
-	return len(line), nil
+	select {
+	case line := <-l.stateLines.lines:
+		return line
+	case line := <-l.requestLines.lines:
+		return line
+	}
 }
 
-// writeLines writes queued lines until it receives nil.
+// writeLines writes queued lines until it receives nil, and then what is left.
 func (l *AsyncLogger) writeLines() {
 	defer close(l.done)
 	var lastReport time.Time // lastReport is when dropped lines were last reported.
-	for line := range l.lines {
-		if line == nil {
-			return
-		}
-		if now := time.Now(); now.Sub(lastReport) >= dropReportInterval {
-			if n := l.dropped.Swap(0); n > 0 {
-				lastReport = now
-				l.Warn("log lines dropped", "lines", n)
-			}
-		}
-		if _, err := l.out.Write(line); err != nil {
-			droppedTotal.Inc() // The failure can be reported only by the metric.
+	for line := l.next(); line != nil; line = l.next() {
+		if now := time.Now(); now.Sub(lastReport) >= dropReportInterval && l.reportDropped() {
+			lastReport = now
 		}
+		l.writeLine(line)
+	}
+	l.reportDropped()
+	for _, b := range []*lineBuffer{&l.stateLines, &l.requestLines} {
+		l.writeQueued(b)
+	}
+}
+
+// writeQueued writes the lines that are in a buffer.
+func (l *AsyncLogger) writeQueued(b *lineBuffer) {
+	for len(b.lines) > 0 {
+		l.writeLine(<-b.lines)
 	}
 }
 
+// writeLine writes one line to the output.
+func (l *AsyncLogger) writeLine(line []byte) {
+	if _, err := l.out.Write(line); err != nil {
+		droppedTotal.Inc() // The failure can be reported only by the metric.
+	}
+}
+
+// reportDropped logs how many lines were dropped since the last report, if any.
+func (l *AsyncLogger) reportDropped() bool {
+	state, requests, limited := l.stateLines.dropped.Swap(0), l.requestLines.dropped.Swap(0), l.limited.Swap(0)
+	if state+requests+limited == 0 {
+		return false
+	}
+	l.Warn("log lines dropped", "lines", state+requests+limited, "stateLines", state, "requestLines", requests, "overQuota", limited)
+	return true
+}
+
 // Close writes the queued lines and ends the writing goroutine. It waits for at
 // most one second for the buffer and one more for the writer.
 func (l *AsyncLogger) Close() {
 	select {
-	case l.lines <- nil:
+	case l.stateLines.lines <- nil:
 	case <-time.After(time.Second):
 		return
 	}
@@ -160,7 +207,7 @@
 	}
 	if q.lines >= maxLinesPerSecond {
 		droppedTotal.Inc()
-		l.dropped.Add(1)
+		l.limited.Add(1)
 		return false
 	}
 	q.lines++
--- a/common/logger/logger_test.go
+++ b/common/logger/logger_test.go
@@ -38,7 +38,7 @@
 	case <-time.After(10 * time.Second):
 		t.Fatal("Info blocked while the output blocks")
 	}
-	is.True(l.dropped.Load() > 0)
+	is.True(l.stateLines.dropped.Load() > 0)
 	close(release)
 	l.Close()
 }
@@ -78,3 +78,33 @@
 	var none *AsyncLogger
 	is.True(!none.AllowLine("rejected") && !none.SampleEvent("sampled"))
 }
+
+// TestRequestLinesDropNoStateLine guards against lines on state changes that are lost
+// among the lines on requests of a busy second: the output blocks while the lines of ten
+// buffers on requests and then one on a state change are logged.
+func TestRequestLinesDropNoStateLine(t *testing.T) {
+	is := is.New(t)
+	release, b := make(chan struct{}), &buffer{}
+	l := New(gatedWriter{release, b}, "host-a", log.InfoLevel)
+	for i := range 10 * bufferLines {
+		l.Requests.Info("request", "i", i)
+	}
+	l.Info("state changed")
+	close(release)
+	l.Close()
+	is.True(strings.Contains(b.b.String(), "state changed"))
+	is.True(strings.Contains(b.b.String(), "msg=request"))
+	is.True(strings.Contains(b.b.String(), "stateLines=0"))
+	is.True(l.requestLines.dropped.Load() == 0) // all drops are reported
+}
+
+// gatedWriter passes lines on once gate is closed.
+type gatedWriter struct {
+	gate chan struct{}
+	to   *buffer
+}
+
+func (w gatedWriter) Write(p []byte) (int, error) {
+	<-w.gate
+	return w.to.Write(p)
+}
--- a/request/receiver/log.go
+++ b/request/receiver/log.go
@@ -45,7 +45,7 @@
 		version = t.Version
 	}
 	h := &x.Request.Header
-	v.Logger.Warn(msgUnmatched, "method", string(h.Method()), "host", string(h.Host()), "path", string(x.Request.URI().Path()), "reason", reason, "detail", detail,
+	v.Logger.Requests.Warn(msgUnmatched, "method", string(h.Method()), "host", string(h.Host()), "path", string(x.Request.URI().Path()), "reason", reason, "detail", detail,
 		"configVersion", version, "confirmationAgeMs", v.confirmationAge().Milliseconds(), "ageMs", time.Since(x.ReceivedAt).Milliseconds())
 }
 
@@ -53,14 +53,14 @@
 func (v *Receiver) logResponse(s *requestState, r translator.Report) {
 	if v.Logger.SampleEvent(msgCompleted) {
 		last := s.tried[len(s.tried)-1]
-		v.Logger.Info(msgCompleted, append(v.logFields(s), "target", last.String(), "status", s.exchange.Response.StatusCode(), "busy", r.Load.RequestCount)...)
+		v.Logger.Requests.Info(msgCompleted, append(v.logFields(s), "target", last.String(), "status", s.exchange.Response.StatusCode(), "busy", r.Load.RequestCount)...)
 	}
 }
 
 // logRejection logs a request that got no response of a target.
 func (v *Receiver) logRejection(s *requestState, r translator.Report, detail string) {
 	if v.Logger.AllowLine(msgRejected) {
-		v.Logger.Warn(msgRejected, append(v.logFields(s), "tried", triedEndpoints(s), "outcome", r.Outcome, "reason", r.Reason, "detail", detail, "targetWaitMs", r.Load.ExpectedWait.Milliseconds(),
+		v.Logger.Requests.Warn(msgRejected, append(v.logFields(s), "tried", triedEndpoints(s), "outcome", r.Outcome, "reason", r.Reason, "detail", detail, "targetWaitMs", r.Load.ExpectedWait.Milliseconds(),
 			"rank", s.route.Rank(), "aimMs", s.route.EffectiveLatencyObjective().Milliseconds())...)
 	}
 }
@@ -69,7 +69,7 @@
 // cause in words.
 func (v *Receiver) logRetry(s *requestState, c dispatcher.Attempt, r translator.Report, detail string) {
 	if v.Logger.AllowLine(msgRetried) {
-		v.Logger.Info(msgRetried, append(v.logFields(s), "target", c.EndpointKey.String(), "outcome", r.Outcome, "reason", r.Reason, "detail", detail, "asking", c.NoWait,
+		v.Logger.Requests.Info(msgRetried, append(v.logFields(s), "target", c.EndpointKey.String(), "outcome", r.Outcome, "reason", r.Reason, "detail", detail, "asking", c.NoWait,
 			"expectedWaitMs", c.ExpectedWait.Milliseconds(), "usualMs", c.ProcessingTime.Milliseconds())...)
 	}
 }
