Decode: bound the length of the error for a long line

A rejected section on one line of 256 KB took each control host seconds to apply and left half a megabyte in its state: the error held the whole line twice, and the library formats such a line in quadratic time although only its message is used.

TestErrorOfLongLineIsShort without the change: decoder_test.go:96: not true: len(err.Error()) < 1000 (3 of 3 rows) --- FAIL: TestErrorOfLongLineIsShort (27.16s) With it: green, the package takes 1.4 s.

--- a/common/decoder/decoder.go
+++ b/common/decoder/decoder.go
@@ -40,6 +40,11 @@
 
 	// maxSuggestionDistance is the maximum Levenshtein distance of a suggested name.
 	maxSuggestionDistance = 3
+	// maxExcerptBytes bounds the excerpt of an error, since control hosts store the
+	// errors of rejected sections.
+	maxExcerptBytes = 256
+	// replacementText replaces bytes of an error that are not valid UTF-8.
+	replacementText = "\uFFFD"
 )
 
 var panicsTotal = metrics.NewCounter("hornbeam_decoder_panics_total")
@@ -284,7 +289,7 @@
 // convertError converts an error of the YAML library to an *Error. For an unknown key
 // it adds the closest key of out's type as a hint.
 func convertError(file string, raw []byte, out any, err error) error {
-	e := &Error{Op: "decode", Kind: KindSyntax, File: file, Line: 1, Column: 1, Message: err.Error()}
+	e := &Error{Op: "decode", Kind: KindSyntax, File: file, Line: 1, Column: 1}
 	var own *Error
 	if errors.As(err, &own) {
 		located := *own
@@ -298,9 +303,11 @@
 	}
 	var located yaml.Error
 	if !errors.As(err, &located) {
+		e.Message = strings.ToValidUTF8(err.Error(), replacementText)
 		return e
 	}
-	e.Message = located.GetMessage()
+	// Error of the library would format the whole line, in quadratic time.
+	e.Message = strings.ToValidUTF8(located.GetMessage(), replacementText)
 	if located.GetToken() == nil {
 		return e
 	}
@@ -327,14 +334,19 @@
 	e.Excerpt = excerpt(raw, e.Line)
 }
 
-// excerpt returns the given line of the input without surrounding space, or an empty
-// string if there is no such line.
+// excerpt returns the first maxExcerptBytes of the given line of the input without
+// surrounding space, or an empty string if there is no such line. It is valid UTF-8, so
+// that it can be stored in CBOR.
 func excerpt(raw []byte, line int) string {
 	lines := strings.Split(string(raw), "\n")
 	if line < 1 || line > len(lines) {
 		return ""
 	}
-	return strings.TrimSpace(lines[line-1])
+	text := strings.TrimSpace(lines[line-1])
+	if len(text) > maxExcerptBytes {
+		text = text[:maxExcerptBytes]
+	}
+	return strings.ToValidUTF8(text, replacementText)
 }
 
 // yamlKeys returns the names of all yaml tags of a type and of the types nested in
--- a/common/decoder/decoder_test.go
+++ b/common/decoder/decoder_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
 
 	"github.com/matryer/is"
 
@@ -81,6 +82,22 @@
 	os.Exit(1)
 }
 
+// TestErrorOfLongLineIsShort guards against errors that hold a whole line of the input,
+// which takes seconds to format: control hosts store the errors of rejected sections.
+func TestErrorOfLongLineIsShort(t *testing.T) {
+	for name, text := range map[string]string{
+		"anchors": repeat("&a ", decoder.MaxBytes), "values": repeat("a: ", decoder.MaxBytes), "texts": repeat(`"é" `, decoder.MaxBytes),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			err := decoder.Decode("s", []byte(text), &input{})
+			is.True(err != nil)
+			is.True(len(err.Error()) < 1000)
+			is.True(utf8.ValidString(err.Error()))
+		})
+	}
+}
+
 // TestNestedInputIsAccepted guards against limits on nesting that reject valid input.
 func TestNestedInputIsAccepted(t *testing.T) {
 	for _, text := range []string{
@@ -104,7 +121,7 @@
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		err := decoder.Decode("s", raw, &input{})
 		var e *decoder.Error
-		if err != nil && !errors.As(err, &e) {
+		if err != nil && (!errors.As(err, &e) || !utf8.ValidString(e.Message) || !utf8.ValidString(e.Excerpt)) {
 			t.Fatal(err)
 		}
 		_ = decoder.ErrorAt("s", raw, "$.list[0]", "not valid")
