Registrar: reject an address whose port is out of range

A heartbeat of another writer with the name of a good target and the address "10.0.0.9:99999" replaced that target: its limiter was closed, the tables of all nodes got a target that nobody can reach, and requests to it failed until the next heartbeat of the good one, which then was replaced in turn.

Cause: only the IP was checked; net.SplitHostPort takes any text as the port. A rejected value was quoted in full in the error, which goes into the log and the response: up to the size of the body.

Now the port must be digits from 1 to 65535, and errors quote 80 bytes. The announcement is rejected with KindInvalid, and the target of that name stays. A port by name (":http") was accepted before and isn't any more.

TestOddAnnouncementReplacesGoodTarget without the change, red in port_above_65535, port_of_five_nines, port_beyond_uint64, port_0, negative_port, signed_port, no_port, name_of_a_port (not true: errors.As(err, &e): accepted), long_address and long_service (not true: len(err.Error()) < 1000). With it: green, also with -race.

--- a/connection/registrar/registrar.go
+++ b/connection/registrar/registrar.go
@@ -17,6 +17,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -48,6 +49,9 @@
 	maxDeparted       = 1024
 
 	maxSlots = 10_000
+	maxPort  = 1<<16 - 1
+	// maxQuotedBytes bounds the values that an error quotes.
+	maxQuotedBytes = 80
 	// A target that does not report ColdUntil is cold for coldRequests responses and for
 	// coldDuration after its start.
 	coldRequests = 20
@@ -106,6 +110,16 @@
 	return a == o
 }
 
+// isIPAndPort reports whether address is an IP address and a port in digits.
+func isIPAndPort(address string) bool {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || net.ParseIP(host) == nil {
+		return false
+	}
+	n, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && n > 0
+}
+
 // validate sets defaults and returns an error if a field is invalid.
 func (a *Announcement) validate() error {
 	if a.Version == "" {
@@ -113,12 +127,11 @@
 	}
 	for _, f := range []struct{ key, value string }{{"target", a.Target}, {"service", a.Service}, {"version", a.Version}} {
 		if !parser.ValidName(f.value) {
-			return errors.Errorf("%s %q is not valid; use lower-case letters, digits and hyphens, a letter first", f.key, f.value)
+			return errors.Errorf("%s %.*q is not valid; use lower-case letters, digits and hyphens, a letter first", f.key, maxQuotedBytes, f.value)
 		}
 	}
-	host, _, err := net.SplitHostPort(a.Address)
-	if err != nil || net.ParseIP(host) == nil {
-		return errors.Errorf("address %q is not of the form IP:PORT", a.Address)
+	if !isIPAndPort(a.Address) {
+		return errors.Errorf("address %.*q is not of the form IP:PORT with a port from 1 to %d", maxQuotedBytes, a.Address, maxPort)
 	}
 	if a.Slots < 0 || a.Slots > maxSlots || a.Connections < 0 || a.Connections > maxSlots {
 		return errors.Errorf("slots and connections must be from 1 to %d", maxSlots)
--- a/connection/registrar/registrar_test.go
+++ b/connection/registrar/registrar_test.go
@@ -1,7 +1,10 @@
 package registrar
 
 import (
+	"errors"
+	"math"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -111,3 +114,54 @@
 	time.AfterFunc(10*time.Millisecond, func() { _ = l.Close() })
 	is.True(!target.AliveAfterDisconnect())
 }
+
+// TestOddAnnouncementReplacesGoodTarget guards against an announcement of another writer
+// that replaces the target of the same name, for example by one whose address can't be
+// dialled.
+func TestOddAnnouncementReplacesGoodTarget(t *testing.T) {
+	now := time.UnixMilli(1_800_000_000_000)
+	started := now.UnixMilli() - 1000
+	rows := []struct {
+		name   string
+		change func(a *Announcement)
+	}{
+		{"port above 65535", func(a *Announcement) { a.Address = "127.0.0.1:65536" }},
+		{"port of five nines", func(a *Announcement) { a.Address = "127.0.0.1:99999" }},
+		{"port beyond uint64", func(a *Announcement) { a.Address = "127.0.0.1:99999999999999999999999" }},
+		{"port 0", func(a *Announcement) { a.Address = "127.0.0.1:0" }},
+		{"negative port", func(a *Announcement) { a.Address = "127.0.0.1:-1" }},
+		{"signed port", func(a *Announcement) { a.Address = "127.0.0.1:+80" }},
+		{"no port", func(a *Announcement) { a.Address = "127.0.0.1:" }},
+		{"name of a port", func(a *Announcement) { a.Address = "127.0.0.1:http" }},
+		{"no IP", func(a *Announcement) { a.Address = ":8080" }},
+		{"no address", func(a *Announcement) { a.Address = "" }},
+		{"long address", func(a *Announcement) { a.Address = strings.Repeat("\xff", 1<<20) }},
+		{"too many slots", func(a *Announcement) { a.Slots = math.MaxInt }},
+		{"negative slots", func(a *Announcement) { a.Slots = -1 }},
+		{"too many connections", func(a *Announcement) { a.Connections = math.MaxInt }},
+		{"long service", func(a *Announcement) { a.Service = strings.Repeat("a", 1<<20) }},
+		{"version that is not UTF-8", func(a *Announcement) { a.Version = "v\xff" }},
+		{"control characters", func(a *Announcement) { a.Service = "designs\n" }},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			r := &Registrar{Now: func() time.Time { return now }}
+			is.NoErr(r.Announce(target("t1", started, 1)))
+			odd := target("t1", started+1, 2)
+			row.change(&odd)
+			err := r.Announce(odd)
+			var e *Error
+			is.True(errors.As(err, &e))
+			is.Equal(e.Kind, KindInvalid)
+			is.True(len(err.Error()) < 1000)
+			odd.Leaving = true
+			is.True(r.Announce(odd) != nil)
+			is.Equal(names(r), []string{"t1"})
+			is.NoErr(r.Announce(target("t1", started, 2))) // the target renews its lease
+			stored, _ := r.Find("t1")
+			is.Equal(stored.Address, "127.0.0.1:9")
+			is.Equal(stored.Sequence, uint64(2))
+		})
+	}
+}
