Registrar: reject a start time in the far future

An announcement of another writer with the name of a good target and a start time of years ahead took its place, and each heartbeat of the good one was then ignored as one of an earlier incarnation, with a 200. The odd one's lease had to run out and its record to be removed first (12 s); if it said that it is leaving, or came as a leave, the good target stayed shut out for the five minutes for which records of departed incarnations are kept. A cold time of years had the target taken for cold all the while.

Announcement and leave are rejected with KindInvalid.

Without the change: TestOddAnnouncementReplacesGoodTarget red in start_in_the_far_future, largest_start, negative_start, cold_for_a_year; TestOddLeaveShutsOutTarget: <nil> != [t1]. With it: green, also with -race.

--- a/connection/registrar/registrar.go
+++ b/connection/registrar/registrar.go
@@ -50,6 +50,9 @@
 
 	maxSlots = 10_000
 	maxPort  = 1<<16 - 1
+	// maxClockStep is how far in the future a start time, or the end of a target's cold
+	// time, may be. The clock of a host may be set back after its targets have started.
+	maxClockStep = 24 * time.Hour
 	// maxQuotedBytes bounds the values that an error quotes.
 	maxQuotedBytes = 80
 	// A target that does not report ColdUntil is cold for coldRequests responses and for
@@ -120,8 +123,14 @@
 	return err == nil && n > 0
 }
 
-// validate sets defaults and returns an error if a field is invalid.
-func (a *Announcement) validate() error {
+// isPossibleStart reports whether a target can have started at a time in Unix
+// milliseconds. An incarnation with a later start would exclude all that follow it.
+func isPossibleStart(startedAt int64, now time.Time) bool {
+	return startedAt >= 0 && startedAt <= now.Add(maxClockStep).UnixMilli()
+}
+
+// validate sets defaults and returns an error if a field is invalid at the time now.
+func (a *Announcement) validate(now time.Time) error {
 	if a.Version == "" {
 		a.Version = "v1"
 	}
@@ -133,6 +142,12 @@
 	if !isIPAndPort(a.Address) {
 		return errors.Errorf("address %.*q is not of the form IP:PORT with a port from 1 to %d", maxQuotedBytes, a.Address, maxPort)
 	}
+	if !isPossibleStart(a.StartedAt, now) {
+		return errors.Errorf("startedAt %d is not a time in the past in Unix milliseconds", a.StartedAt)
+	}
+	if a.ColdUntil != nil && a.ColdUntil.After(now.Add(maxClockStep)) {
+		return errors.Errorf("coldUntil is more than %s from now", maxClockStep)
+	}
 	if a.Slots < 0 || a.Slots > maxSlots || a.Connections < 0 || a.Connections > maxSlots {
 		return errors.Errorf("slots and connections must be from 1 to %d", maxSlots)
 	}
@@ -291,7 +306,7 @@
 // of an earlier incarnation is ignored without an error. The *Error has KindInvalid
 // for an invalid field, and KindFull if the host has MaxTargets targets.
 func (r *Registrar) Announce(a Announcement) error {
-	if err := a.validate(); err != nil {
+	if err := a.validate(r.now()); err != nil {
 		return &Error{"announce", KindInvalid, err}
 	}
 	r.mu.Lock()
@@ -376,9 +391,13 @@
 
 // MarkLeaving stops new requests to a target; requests in flight complete. startedAt
 // identifies the incarnation that leaves, in Unix milliseconds; 0 means the current
-// one. A leave of an earlier incarnation is ignored. If there is no such target, the
-// *Error has KindUnknownTarget.
+// one. A leave of an earlier incarnation is ignored. The *Error has KindInvalid, and
+// nothing changes, if no target can have started then; it has KindUnknownTarget if there
+// is no such target.
 func (r *Registrar) MarkLeaving(name string, startedAt int64) error {
+	if !isPossibleStart(startedAt, r.now()) {
+		return &Error{"leave", KindInvalid, errors.Errorf("startedAt %d is not a time in the past in Unix milliseconds", startedAt)}
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	t := r.targets[name]
--- a/connection/registrar/registrar_test.go
+++ b/connection/registrar/registrar_test.go
@@ -116,11 +116,12 @@
 }
 
 // TestOddAnnouncementReplacesGoodTarget guards against an announcement of another writer
-// that replaces the target of the same name, for example by one whose address can't be
-// dialled.
+// that replaces or shuts out the target of the same name: an address that can't be
+// dialled, or a start time that no later incarnation exceeds.
 func TestOddAnnouncementReplacesGoodTarget(t *testing.T) {
 	now := time.UnixMilli(1_800_000_000_000)
 	started := now.UnixMilli() - 1000
+	farFuture := now.Add(365 * 24 * time.Hour)
 	rows := []struct {
 		name   string
 		change func(a *Announcement)
@@ -136,6 +137,10 @@
 		{"no IP", func(a *Announcement) { a.Address = ":8080" }},
 		{"no address", func(a *Announcement) { a.Address = "" }},
 		{"long address", func(a *Announcement) { a.Address = strings.Repeat("\xff", 1<<20) }},
+		{"start in the far future", func(a *Announcement) { a.StartedAt = farFuture.UnixMilli() }},
+		{"largest start", func(a *Announcement) { a.StartedAt = math.MaxInt64 }},
+		{"negative start", func(a *Announcement) { a.StartedAt = -1 }},
+		{"cold for a year", func(a *Announcement) { a.ColdUntil = &farFuture }},
 		{"too many slots", func(a *Announcement) { a.Slots = math.MaxInt }},
 		{"negative slots", func(a *Announcement) { a.Slots = -1 }},
 		{"too many connections", func(a *Announcement) { a.Connections = math.MaxInt }},
@@ -165,3 +170,24 @@
 		})
 	}
 }
+
+// TestOddLeaveShutsOutTarget guards against a leave with a start time in the far future,
+// after which no incarnation of the target is accepted.
+func TestOddLeaveShutsOutTarget(t *testing.T) {
+	is := is.New(t)
+	r := &Registrar{}
+	is.True(r.MarkLeaving("t1", math.MaxInt64) != nil)
+	is.True(r.MarkLeaving("t1", -1) != nil)
+	is.NoErr(r.Announce(target("t1", 200, 1)))
+	is.Equal(names(r), []string{"t1"})
+}
+
+// TestClockSetBackLosesTarget guards against limits on start times that reject a target
+// whose host has set its clock back.
+func TestClockSetBackLosesTarget(t *testing.T) {
+	is := is.New(t)
+	now := time.UnixMilli(1_800_000_000_000)
+	r := &Registrar{Now: func() time.Time { return now }}
+	is.NoErr(r.Announce(target("t1", now.Add(14*time.Hour).UnixMilli(), 1)))
+	is.Equal(names(r), []string{"t1"})
+}
