--- a/connection/registrar/registrar_test.go
+++ b/connection/registrar/registrar_test.go
@@ -1,7 +1,10 @@
 package registrar
 
 import (
+	"errors"
+	"math"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -111,3 +114,80 @@
 	time.AfterFunc(10*time.Millisecond, func() { _ = l.Close() })
 	is.True(!target.AliveAfterDisconnect())
 }
+
+// TestOddAnnouncementReplacesGoodTarget guards against an announcement of another writer
+// that replaces or shuts out the target of the same name: an address that can't be
+// dialled, or a start time that no later incarnation exceeds.
+func TestOddAnnouncementReplacesGoodTarget(t *testing.T) {
+	now := time.UnixMilli(1_800_000_000_000)
+	started := now.UnixMilli() - 1000
+	farFuture := now.Add(365 * 24 * time.Hour)
+	rows := []struct {
+		name   string
+		change func(a *Announcement)
+	}{
+		{"port above 65535", func(a *Announcement) { a.Address = "127.0.0.1:65536" }},
+		{"port of five nines", func(a *Announcement) { a.Address = "127.0.0.1:99999" }},
+		{"port beyond uint64", func(a *Announcement) { a.Address = "127.0.0.1:99999999999999999999999" }},
+		{"port 0", func(a *Announcement) { a.Address = "127.0.0.1:0" }},
+		{"negative port", func(a *Announcement) { a.Address = "127.0.0.1:-1" }},
+		{"signed port", func(a *Announcement) { a.Address = "127.0.0.1:+80" }},
+		{"no port", func(a *Announcement) { a.Address = "127.0.0.1:" }},
+		{"name of a port", func(a *Announcement) { a.Address = "127.0.0.1:http" }},
+		{"no IP", func(a *Announcement) { a.Address = ":8080" }},
+		{"no address", func(a *Announcement) { a.Address = "" }},
+		{"long address", func(a *Announcement) { a.Address = strings.Repeat("\xff", 1<<20) }},
+		{"start in the far future", func(a *Announcement) { a.StartedAt = farFuture.UnixMilli() }},
+		{"largest start", func(a *Announcement) { a.StartedAt = math.MaxInt64 }},
+		{"negative start", func(a *Announcement) { a.StartedAt = -1 }},
+		{"cold for a year", func(a *Announcement) { a.ColdUntil = &farFuture }},
+		{"too many slots", func(a *Announcement) { a.Slots = math.MaxInt }},
+		{"negative slots", func(a *Announcement) { a.Slots = -1 }},
+		{"too many connections", func(a *Announcement) { a.Connections = math.MaxInt }},
+		{"long service", func(a *Announcement) { a.Service = strings.Repeat("a", 1<<20) }},
+		{"version that is not UTF-8", func(a *Announcement) { a.Version = "v\xff" }},
+		{"control characters", func(a *Announcement) { a.Service = "designs\n" }},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			r := &Registrar{Now: func() time.Time { return now }}
+			is.NoErr(r.Announce(target("t1", started, 1)))
+			odd := target("t1", started+1, 2)
+			row.change(&odd)
+			err := r.Announce(odd)
+			var e *Error
+			is.True(errors.As(err, &e))
+			is.Equal(e.Kind, KindInvalid)
+			is.True(len(err.Error()) < 1000)
+			odd.Leaving = true
+			is.True(r.Announce(odd) != nil)
+			is.Equal(names(r), []string{"t1"})
+			is.NoErr(r.Announce(target("t1", started, 2))) // the target renews its lease
+			stored, _ := r.Find("t1")
+			is.Equal(stored.Address, "127.0.0.1:9")
+			is.Equal(stored.Sequence, uint64(2))
+		})
+	}
+}
+
+// TestOddLeaveShutsOutTarget guards against a leave with a start time in the far future,
+// after which no incarnation of the target is accepted.
+func TestOddLeaveShutsOutTarget(t *testing.T) {
+	is := is.New(t)
+	r := &Registrar{}
+	is.True(r.MarkLeaving("t1", math.MaxInt64) != nil)
+	is.True(r.MarkLeaving("t1", -1) != nil)
+	is.NoErr(r.Announce(target("t1", 200, 1)))
+	is.Equal(names(r), []string{"t1"})
+}
+
+// TestClockSetBackLosesTarget guards against limits on start times that reject a target
+// whose host has set its clock back.
+func TestClockSetBackLosesTarget(t *testing.T) {
+	is := is.New(t)
+	now := time.UnixMilli(1_800_000_000_000)
+	r := &Registrar{Now: func() time.Time { return now }}
+	is.NoErr(r.Announce(target("t1", now.Add(14*time.Hour).UnixMilli(), 1)))
+	is.Equal(names(r), []string{"t1"})
+}
