Serve the routes of a host that is written with a port

Operators saw: a listener with the host "h.example:8080" was accepted, and requests to it got 404: a route that was added was not served. Two listeners whose hosts differ only in case or port were accepted with the same prefix, although matching ignores both, so one of the two routes had no effect.

Cause: matching removes the port of the request's host and ignores case; the port of the route's host stayed, and routes were compared letter by letter.

Change: parser.HostName is the one place that says when two hosts are the same.

--- a/version/compiler/index.go
+++ b/version/compiler/index.go
@@ -1,6 +1,10 @@
 package compiler
 
-import "strings"
+import (
+	"strings"
+
+	"github.com/hornbeamrack/hornbeamrack/version/parser"
+)
 
 // index maps a host and the first segment of a path to routes. Each list has the
 // order of the table: the longest path first.
@@ -14,12 +18,12 @@
 )
 
 // newIndex returns the index of routes that are sorted by buildRoutes. The keys are
-// the host in lower case and the first segment of the path; the routes of one key
-// keep their order.
+// the parser.HostName of the host and the first segment of the path; the routes of one
+// key keep their order.
 func newIndex(routes []*Route) index {
 	x := index{}
 	for _, r := range routes {
-		host := strings.ToLower(r.Host)
+		host := parser.HostName(r.Host)
 		if x[host] == nil {
 			x[host] = map[string][]*Route{}
 		}
@@ -44,7 +48,7 @@
 // those without a host. It returns false when no route matches.
 func (t *Table) Match(host, method, path string) (*Route, bool) {
 	segment := firstSegment(path)
-	for _, h := range [2]string{hostName(host), anyHost} {
+	for _, h := range [2]string{parser.HostName(host), anyHost} {
 		segments := t.index[h]
 		for _, s := range [2]string{segment, anySegment} {
 			for _, r := range segments[s] {
@@ -63,14 +67,6 @@
 	return nil, false
 }
 
-// hostName returns a host without its port, in lower case.
-func hostName(host string) string {
-	if i := strings.LastIndexByte(host, ':'); i > strings.LastIndexByte(host, ']') {
-		host = host[:i]
-	}
-	return strings.ToLower(host)
-}
-
 // isBelow reports whether path equals prefix or lies below it. A prefix that ends
 // with a slash does not match the path without the slash.
 func isBelow(path, prefix string) bool {
--- a/version/parser/parser.go
+++ b/version/parser/parser.go
@@ -174,6 +174,15 @@
 // up to 63 lower-case letters, digits and hyphens, a letter first.
 func ValidName(name string) bool { return namePattern.MatchString(name) }
 
+// HostName returns a host without its port, in lower case. Hosts with the same name are
+// the same to routes.
+func HostName(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i > strings.LastIndexByte(host, ']') {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
+
 // Parse parses and checks a section and sets the defaults. Errors are of type
 // *decoder.Error and name the section as their file.
 func Parse(section string, body []byte) (Content, error) {
