Replay no response that was too long to store

Callers who sent a deposit again under its idempotency key got 200 with an empty body, framed as whole, where the first response had more than 16 KB. Cause: such a body is not stored with the claim, which is marked Truncated; the replay did not read the mark and set the empty body. Evidence: TestUnstoredResponseIsNotReplayed without the fix: 'again: status 200, outcome ran, 0 bytes'. Change: a response that is not stored completely is reported as the held claim of an earlier attempt: outcome unknown, reason held, not run again. Result: the test passes, and so do TestAtMostOnce and TestResendWaitsForTheFirst.

--- a/request/executor/claim.go
+++ b/request/executor/claim.go
@@ -82,8 +82,8 @@
 	case claimer.VerdictGranted:
 		return translator.Report{}, "", true
 	case claimer.VerdictSettled:
-		replayResponse(resp, result.Response)
-		return translator.Report{Outcome: forwarder.OutcomeRan, Replayed: true}, "", false
+		report, detail := replayResponse(resp, result.Response)
+		return report, detail, false
 	case claimer.VerdictHeld:
 		return translator.Report{Outcome: forwarder.OutcomeUnknown, Reason: translator.ReasonClaimHeld}, "an earlier attempt with this idempotency key may have run", false
 	case claimer.VerdictMismatch:
@@ -109,14 +109,20 @@
 	}
 }
 
-// replayResponse replaces resp by the stored response of an earlier attempt.
-func replayResponse(resp *fasthttp.Response, stored *claimer.Response) {
+// replayResponse replaces resp by the stored response of an earlier attempt and reports
+// OutcomeRan. A response that is not stored completely is not replayed: the report is
+// then that of a held claim.
+func replayResponse(resp *fasthttp.Response, stored *claimer.Response) (translator.Report, string) {
+	if stored.Truncated {
+		return translator.Unknown(translator.ReasonClaimHeld), "an earlier attempt with this idempotency key ran, but its response was too long to store"
+	}
 	resp.Reset()
 	resp.SetStatusCode(stored.Status)
 	if stored.ContentType != "" {
 		resp.Header.SetContentType(stored.ContentType)
 	}
 	resp.SetBody(stored.Body)
+	return translator.Report{Outcome: forwarder.OutcomeRan, Replayed: true}, ""
 }
 
 // settleClaim stores the response with its claim, for retries of the request by
--- a/request/receiver/outcome_test.go
+++ b/request/receiver/outcome_test.go
@@ -351,3 +351,31 @@
 	is.Equal(second, first)
 	is.Equal(f.ran("k"), 1)
 }
+
+// TestUnstoredResponseIsNotReplayed guards against a 200 with an empty body for a resent
+// request whose response was too long to be stored with its claim.
+func TestUnstoredResponseIsNotReplayed(t *testing.T) {
+	is := is.New(t)
+	c, f := &claims{}, &fakeTarget{}
+	settled := make(chan struct{})
+	c.after = func(cmd claimer.Command) error {
+		if cmd.Action == claimer.ActionSettle {
+			close(settled)
+		}
+		return nil
+	}
+	a, b := newNode(t, "a", c), newNode(t, "b", c)
+	long := strings.Repeat("x", claimer.MaxStoredBodyBytes+1)
+	f.respond = func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString(long) }
+	address, _ := listen(t, f.handle)
+	announce(t, b, "t1", address)
+	publishTable(t, 1, a, b)
+	first := call(t, a.entry, "POST", "/deposits", "k")
+	is.Equal(first, response{200, "ran", "", long})
+	<-settled
+	again := call(t, b.entry, "POST", "/deposits", "k")
+	t.Logf("again: status %d, outcome %s, %d bytes", again.status, again.outcome, len(again.body))
+	is.True(again.status != 200 || again.body == long)
+	is.Equal(again.outcome, "unknown")
+	is.Equal(f.ran("k"), 1)
+}
