Replay no response that the translator cannot verify

Callers who sent a request again under its idempotency key got a 2xx without the target's signature where the interface demands one: only status, content type and body are stored with a claim. Cause: the check that a response is the target's own was made for responses that arrive, not for stored ones. Evidence: TestUnverifiableResponseIsNotReplayed without the fix: 'again: {status:200 outcome:ran reason: body:done}', 'ran != unknown'. Change: a replayed response passes the same check as one that arrives; one that fails it is reported as a held claim. Interfaces without a signature replay as before. Result: go test -race -count=1 ./request/receiver ./request/executor passes.

--- a/request/executor/claim.go
+++ b/request/executor/claim.go
@@ -82,7 +82,7 @@
 	case claimer.VerdictGranted:
 		return translator.Report{}, "", true
 	case claimer.VerdictSettled:
-		report, detail := replayResponse(resp, result.Response)
+		report, detail := x.replayResponse(resp, result.Response)
 		return report, detail, false
 	case claimer.VerdictHeld:
 		return translator.Report{Outcome: forwarder.OutcomeUnknown, Reason: translator.ReasonClaimHeld}, "an earlier attempt with this idempotency key may have run", false
@@ -110,11 +110,12 @@
 }
 
 // replayResponse replaces resp by the stored response of an earlier attempt and reports
-// OutcomeRan. A response that is not stored completely is not replayed: the report is
-// then that of a held claim.
-func replayResponse(resp *fasthttp.Response, stored *claimer.Response) (translator.Report, string) {
+// OutcomeRan. A response that is not stored completely, or that lacks what proves that it
+// is a target's, is not replayed: the report is then that of a held claim.
+func (x *Executor) replayResponse(resp *fasthttp.Response, stored *claimer.Response) (translator.Report, string) {
+	held := translator.Unknown(translator.ReasonClaimHeld)
 	if stored.Truncated {
-		return translator.Unknown(translator.ReasonClaimHeld), "an earlier attempt with this idempotency key ran, but its response was too long to store"
+		return held, "an earlier attempt with this idempotency key ran, but its response was too long to store"
 	}
 	resp.Reset()
 	resp.SetStatusCode(stored.Status)
@@ -122,6 +123,9 @@
 		resp.Header.SetContentType(stored.ContentType)
 	}
 	resp.SetBody(stored.Body)
+	if !x.Translator.ReadResponse(resp).Verified {
+		return held, "an earlier attempt with this idempotency key ran, but its stored response cannot be verified"
+	}
 	return translator.Report{Outcome: forwarder.OutcomeRan, Replayed: true}, ""
 }
 
--- a/request/receiver/outcome_test.go
+++ b/request/receiver/outcome_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/hornbeamrack/hornbeamrack/request/checker"
 	"github.com/hornbeamrack/hornbeamrack/request/claimer"
+	"github.com/hornbeamrack/hornbeamrack/request/translator"
 )
 
 var errCut = errors.New("fault injected by the test")
@@ -379,3 +380,42 @@
 	is.Equal(again.outcome, "unknown")
 	is.Equal(f.ran("k"), 1)
 }
+
+// signedTranslator verifies the responses of targets by a header.
+type signedTranslator struct{ translator.Own }
+
+const headerTestSignature = "X-Test-Signature"
+
+// ReadResponse implements translator.Translator.
+func (signedTranslator) ReadResponse(resp *fasthttp.Response) translator.ResponseMetadata {
+	return translator.ResponseMetadata{Verified: len(resp.Header.Peek(headerTestSignature)) > 0}
+}
+
+// TestUnverifiableResponseIsNotReplayed guards against a 200 without the target's
+// signature for a resent request: the signature is not stored with the claim.
+func TestUnverifiableResponseIsNotReplayed(t *testing.T) {
+	is := is.New(t)
+	c, f := &claims{}, &fakeTarget{}
+	settled := make(chan struct{})
+	c.after = func(cmd claimer.Command) error {
+		if cmd.Action == claimer.ActionSettle {
+			close(settled)
+		}
+		return nil
+	}
+	a, b := newNode(t, "a", c), newNode(t, "b", c)
+	b.executor.Translator = signedTranslator{}
+	f.respond = func(ctx *fasthttp.RequestCtx) {
+		ctx.Response.Header.Set(headerTestSignature, "s")
+		ctx.SetBodyString("done")
+	}
+	address, _ := listen(t, f.handle)
+	announce(t, b, "t1", address)
+	publishTable(t, 1, a, b)
+	is.Equal(call(t, a.entry, "POST", "/deposits", "k"), response{200, "ran", "", "done"})
+	<-settled
+	again := call(t, b.entry, "POST", "/deposits", "k")
+	t.Logf("again: %+v", again)
+	is.Equal(again.outcome, "unknown")
+	is.Equal(f.ran("k"), 1)
+}
