Give a request on another connection a state of its own

Cause: a request with a body above 2 KB is written by a goroutine. When the peer closes the idle connection that was taken, and nothing is sent, the request takes another connection with the same state (call). The goroutine of the first connection could start after that, find its connection closed, and mark the request as not sent, though it was sent on the second connection. If that one broke too, the request was sent a third time. It also read the header of the request while the next attempt changed it.

Change: callState is the state on one connection and belongs to that connection's goroutines only; a call ends when its sender has ended, so nobody reads the request afterwards. A failed write closes the connection before it counts as written, so that it is never taken for reuse.

--- a/request/forwarder/conn.go
+++ b/request/forwarder/conn.go
@@ -26,20 +26,31 @@
 	minIdleTimeout = 500 * time.Millisecond
 )
 
-// call is one request on a connection, with its response.
+// call is one request with its response.
 type call struct {
-	req        *fasthttp.Request
-	resp       *fasthttp.Response
-	identity   Identity
-	stream     bool
-	bodyPassed chan struct{} // bodyPassed is closed when a streamed body is passed on or given up.
-	conn       *persistConn
-	sent       bool // sent means that bytes of the request may have been sent; persistConn.mu guards it.
-
-	acknowledged atomic.Bool // acknowledged means that the peer has sent an interim or final response.
-	onNoAck      func() bool // onNoAck decides whether to give up an unacknowledged call; it may be nil.
-
-	done chan error // done receives one value: nil, or the error that ended the response.
+	req      *fasthttp.Request
+	resp     *fasthttp.Response
+	identity Identity
+	stream   bool
+	onNoAck  func() bool // onNoAck decides whether to give up an unacknowledged call; it may be nil.
+}
+
+// callState is the state of a call on one connection. A call that takes another
+// connection gets a new state, since the goroutines of the earlier one may still run.
+type callState struct {
+	call
+
+	conn         *persistConn
+	sent         bool          // sent means that bytes of the request may have been sent; persistConn.mu guards it.
+	sendEnded    chan struct{} // sendEnded is closed when nothing more of the request is read or sent.
+	bodyPassed   chan struct{} // bodyPassed is closed when a streamed body is passed on or given up.
+	acknowledged atomic.Bool   // acknowledged means that the peer has sent an interim or final response.
+	done         chan error    // done receives one value: nil, or the error that ended the response.
+}
+
+// newCallState returns the state of a call that has no connection yet.
+func newCallState(c call) *callState {
+	return &callState{call: c, sendEnded: make(chan struct{}), bodyPassed: make(chan struct{}), done: make(chan error, 1)}
 }
 
 // persistConn is one connection with the goroutine that reads from it.
@@ -57,7 +68,7 @@
 	rejections rejections
 
 	mu          sync.Mutex
-	current     *call
+	current     *callState
 	writing     bool // writing means that the request is not sent completely.
 	closed      bool
 	idleUntil   time.Time     // idleUntil is the moment after which the peer may close the connection.
@@ -109,19 +120,20 @@
 
 // begin makes c the connection's current call. It returns false if the connection
 // is closed or the peer may be about to close it.
-func (pc *persistConn) begin(c *call) bool {
+func (pc *persistConn) begin(c *callState) bool {
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
 	if pc.closed || (!pc.idleUntil.IsZero() && time.Now().After(pc.idleUntil)) {
 		return false
 	}
-	pc.current, pc.writing, c.sent = c, true, false
+	pc.current, pc.writing = c, true
 	return true
 }
 
 // send writes the request before the deadline. The path and the headers are sent
 // unchanged. On failure it closes the connection.
-func (pc *persistConn) send(c *call, deadline time.Time) {
+func (pc *persistConn) send(c *callState, deadline time.Time) {
+	defer close(c.sendEnded)
 	pc.mu.Lock()
 	c.sent = !pc.closed
 	pc.mu.Unlock()
@@ -140,12 +152,12 @@
 	if err == nil {
 		err = pc.bw.Flush()
 	}
-	pc.mu.Lock()
-	pc.writing = false
-	pc.mu.Unlock()
 	if err != nil {
 		pc.close() // readLoop ends the call.
 	}
+	pc.mu.Lock()
+	pc.writing = false
+	pc.mu.Unlock()
 }
 
 // readLoop reads responses and ends their calls until the connection is closed. It
@@ -180,7 +192,7 @@
 // callOrClose returns the call whose response is pending. If there is none, it closes
 // the connection in the same step, so that no call can begin without a reader, and
 // returns nil.
-func (pc *persistConn) callOrClose() *call {
+func (pc *persistConn) callOrClose() *callState {
 	pc.mu.Lock()
 	c := pc.current
 	closing := c == nil && !pc.closed
@@ -194,7 +206,7 @@
 
 // errorOrNotSent returns errNotSent if the request was never written, else err.
 // The connection must be closed.
-func (pc *persistConn) errorOrNotSent(c *call, err error) error {
+func (pc *persistConn) errorOrNotSent(c *callState, err error) error {
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
 	if !c.sent {
@@ -205,7 +217,7 @@
 
 // finish sends the result of a call to its done channel. For a streamed call
 // signalStreamStart has sent a nil result already.
-func (pc *persistConn) finish(c *call, err error) {
+func (pc *persistConn) finish(c *callState, err error) {
 	if !c.stream || err != nil {
 		select {
 		case c.done <- err:
@@ -217,7 +229,7 @@
 // readResponse reads the response to c and reports whether the connection can be
 // reused: the peer keeps it open, and the response ended before the connection
 // did.
-func (pc *persistConn) readResponse(c *call) (bool, error) {
+func (pc *persistConn) readResponse(c *callState) (bool, error) {
 	h := &c.resp.Header
 	if err := pc.readOwnHeader(c); err != nil {
 		return false, err
@@ -248,7 +260,7 @@
 // readOwnHeader reads the header of the response to c. It discards the responses to
 // other requests that precede it. It fails if a response names no request, since neither
 // that one nor a later one can be assigned to c then.
-func (pc *persistConn) readOwnHeader(c *call) error {
+func (pc *persistConn) readOwnHeader(c *callState) error {
 	for range maxForeignResponses + 1 {
 		if err := pc.readFinalHeader(c); err != nil {
 			return err
@@ -273,7 +285,7 @@
 
 // readFinalHeader reads the header of a final response and discards the interim
 // responses that precede it.
-func (pc *persistConn) readFinalHeader(c *call) error {
+func (pc *persistConn) readFinalHeader(c *callState) error {
 	h := &c.resp.Header
 	for range maxInterimResponses + 1 {
 		if err := h.Read(pc.br); err != nil {
@@ -290,7 +302,7 @@
 // discardBody reads the body of a response to another request than c. It fails if the
 // end of that response cannot be found: whether a response to an unknown request has a
 // body is uncertain when c has the method HEAD.
-func (pc *persistConn) discardBody(c *call) error {
+func (pc *persistConn) discardBody(c *callState) error {
 	h := &c.resp.Header
 	if h.StatusCode() == fasthttp.StatusNoContent || h.StatusCode() == fasthttp.StatusNotModified {
 		return nil
@@ -312,7 +324,7 @@
 }
 
 // signalStreamStart ends the wait of a streamed call once its body can be read.
-func (c *call) signalStreamStart() {
+func (c *callState) signalStreamStart() {
 	if c.stream {
 		c.done <- nil
 	}
@@ -320,7 +332,7 @@
 
 // passBody lets the caller read the body from the connection and waits until it is
 // passed on.
-func (pc *persistConn) passBody(c *call) error {
+func (pc *persistConn) passBody(c *callState) error {
 	c.resp.StreamBody = true
 	if err := c.resp.ReadBody(pc.br, 0); err != nil {
 		return err
@@ -382,7 +394,7 @@
 // fasthttp.ReadCloserWithError, so that a connection whose body was not read to
 // its end is closed and not reused.
 type streamBody struct {
-	call *call
+	call *callState
 	done func()
 	err  error
 }
@@ -414,6 +426,7 @@
 	_ = b.call.conn.netConn.SetReadDeadline(time.Time{})
 	_ = b.call.resp.CloseBodyStream()
 	close(b.call.bodyPassed)
+	<-b.call.sendEnded // The connection is closed if the request is not sent completely.
 	b.call = nil
 	b.done()
 	return nil
--- a/request/forwarder/forwarder.go
+++ b/request/forwarder/forwarder.go
@@ -168,14 +168,16 @@
 // deadline. The end of ctx cancels the request by closing its connection. On
 // failure it returns an Error, whose kind OutcomeOf maps to an outcome.
 func (f *Forwarder) Do(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, id Identity) error {
-	return f.run(ctx, &call{req: req, resp: resp, identity: id}, deadline)
+	_, err := f.run(ctx, call{req: req, resp: resp, identity: id}, deadline)
+	return err
 }
 
 // DoAcknowledged is Do for a peer that acknowledges requests. onNoAck is called
 // once if no acknowledgement arrives within AckTimeout; if it returns true, the
 // request is given up with KindNoAck.
 func (f *Forwarder) DoAcknowledged(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, id Identity, onNoAck func() bool) error {
-	return f.run(ctx, &call{req: req, resp: resp, identity: id, onNoAck: onNoAck}, deadline)
+	_, err := f.run(ctx, call{req: req, resp: resp, identity: id, onNoAck: onNoAck}, deadline)
+	return err
 }
 
 // Stream sends the request once and returns when the header of the response has
@@ -185,8 +187,8 @@
 // as Do does.
 func (f *Forwarder) Stream(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, id Identity, done func()) error {
 	inner := fasthttp.AcquireResponse()
-	c := &call{req: req, resp: inner, identity: id, stream: true, bodyPassed: make(chan struct{})}
-	if err := f.run(ctx, c, deadline); err != nil {
+	c, err := f.run(ctx, call{req: req, resp: inner, identity: id, stream: true}, deadline)
+	if err != nil {
 		done()
 		return err
 	}
@@ -197,18 +199,20 @@
 }
 
 // run makes the attempt of a call. It takes another connection as long as the one
-// it has turns out to be closed before anything is sent.
-func (f *Forwarder) run(ctx context.Context, c *call, deadline time.Time) error {
+// it has turns out to be closed before anything is sent. It returns the state of the
+// call on the last connection.
+func (f *Forwarder) run(ctx context.Context, c call, deadline time.Time) (*callState, error) {
 	if !time.Now().Before(deadline) {
-		return &Error{"do", KindExpired, errors.New("the deadline passed before the request was sent")}
+		return nil, &Error{"do", KindExpired, errors.New("the deadline passed before the request was sent")}
 	}
 	if ctx.Err() != nil {
-		return &Error{"do", KindCancelledBeforeSend, ctx.Err()}
+		return nil, &Error{"do", KindCancelledBeforeSend, ctx.Err()}
 	}
 	for {
-		err := f.attempt(ctx, c, deadline)
+		s := newCallState(c)
+		err := f.attempt(ctx, s, deadline)
 		if !errors.Is(err, errNotSent) {
-			return err
+			return s, err
 		}
 		// The peer has closed an idle connection, and nothing was sent on it.
 	}
@@ -216,8 +220,7 @@
 
 // attempt sends the call on one connection and waits until the call ends. It
 // returns errNotSent if nothing was sent.
-func (f *Forwarder) attempt(ctx context.Context, c *call, deadline time.Time) error {
-	c.done = make(chan error, 1)
+func (f *Forwarder) attempt(ctx context.Context, c *callState, deadline time.Time) error {
 	pc, err := f.acquire(ctx, c, deadline)
 	if err != nil {
 		return err
@@ -231,20 +234,25 @@
 		go pc.send(c, deadline) // The response may arrive before the whole body is sent.
 	}
 	err, ended := f.await(ctx, c, timer)
+	if !ended {
+		pc.close()
+		// The reader may still be writing to the response, so its end is awaited.
+		if <-c.done == nil && c.stream {
+			close(c.bodyPassed)
+		}
+	}
+	if !c.stream || err != nil {
+		<-c.sendEnded // The connection is closed if the request is not sent completely.
+	}
 	if ended {
 		return classifyError(err)
 	}
-	pc.close()
-	// The reader may still be writing to the response, so its end is awaited.
-	if <-c.done == nil && c.stream {
-		close(c.bodyPassed)
-	}
 	return err
 }
 
 // await waits for the end of a call. ended is false if the call is given up while
 // its response may still arrive.
-func (f *Forwarder) await(ctx context.Context, c *call, timer *time.Timer) (err error, ended bool) {
+func (f *Forwarder) await(ctx context.Context, c *callState, timer *time.Timer) (err error, ended bool) {
 	var ackTimeout <-chan time.Time
 	if f.AckTimeout > 0 && c.onNoAck != nil {
 		t := time.NewTimer(f.AckTimeout)
@@ -273,7 +281,7 @@
 
 // acquire assigns the call to an idle connection, or to a new one, and returns it.
 // It returns an Error of KindNoConn or KindDial if there is none.
-func (f *Forwarder) acquire(ctx context.Context, c *call, deadline time.Time) (*persistConn, error) {
+func (f *Forwarder) acquire(ctx context.Context, c *callState, deadline time.Time) (*persistConn, error) {
 	for {
 		f.mu.Lock()
 		pc, usable := f.takeIdle(c.identity)
--- a/request/forwarder/idle_test.go
+++ b/request/forwarder/idle_test.go
@@ -3,14 +3,18 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 )
 
@@ -46,3 +50,81 @@
 		is.Fail() // requests past their deadlines have not ended
 	}
 }
+
+// TestRequestWithLongBodyRunsOnce guards against a request that is sent again, or reported
+// as not run, after it was sent: its body is written by another goroutine, and its first
+// connection may be closed before that goroutine starts.
+func TestRequestWithLongBodyRunsOnce(t *testing.T) {
+	is := is.New(t)
+	const callers, requests = 16, 500
+	var mu sync.Mutex
+	runs := map[string]int{}
+	address := startTarget(t, func(n int, conn net.Conn, r *bufio.Reader) {
+		h, ok := readHeader(r)
+		if !ok {
+			return
+		}
+		path, _, _ := strings.Cut(strings.TrimPrefix(h, "POST "), " ")
+		mu.Lock()
+		runs[path]++
+		mu.Unlock()
+		_, _ = io.CopyN(io.Discard, r, 2*smallBodyBytes)
+		if n%2 == 0 {
+			_, _ = io.WriteString(conn, wholeResponse)
+		}
+	})
+	f := &Forwarder{Address: address, MaxConnections: callers}
+	var wait sync.WaitGroup
+	notRun := make([][]string, callers)
+	for i := range callers {
+		wait.Go(func() {
+			for k := range requests {
+				req := newRequest(fmt.Sprintf("/%d-%d", i, k))
+				req.Header.SetMethod("POST")
+				req.SetBody(make([]byte, 2*smallBodyBytes))
+				err := f.Do(context.Background(), req, &fasthttp.Response{}, time.Now().Add(testTimeout), Identity{})
+				if OutcomeOf(err) == OutcomeNotRun {
+					notRun[i] = append(notRun[i], string(req.Header.RequestURI()))
+				}
+			}
+		})
+	}
+	wait.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	twice, broken := 0, 0
+	for _, n := range runs {
+		if n > 1 {
+			twice++
+		}
+	}
+	for _, path := range slices.Concat(notRun...) {
+		broken += runs[path]
+	}
+	t.Logf("%d of %d requests ran, %d of them more than once, %d reported as not run ran", len(runs), callers*requests, twice, broken)
+	is.Equal(twice, 0)
+	is.Equal(broken, 0)
+}
+
+// TestDelayedSendKeepsNextAttemptSent guards against a request that is taken for one that
+// was not sent: the goroutine that was to send it on a connection that is closed by then
+// starts after the request was sent on the next one.
+func TestDelayedSendKeepsNextAttemptSent(t *testing.T) {
+	is := is.New(t)
+	address := startTarget(t, func(_ int, _ net.Conn, r *bufio.Reader) { readHeader(r) })
+	f := &Forwarder{Address: address}
+	deadline := time.Now().Add(testTimeout)
+	c := call{req: newRequest("/"), resp: &fasthttp.Response{}}
+	first, next := newCallState(c), newCallState(c)
+	closed, err := f.acquire(context.Background(), first, deadline)
+	is.NoErr(err)
+	closed.close()
+	is.True(errors.Is(<-first.done, errNotSent))
+	open, err := f.acquire(context.Background(), next, deadline)
+	is.NoErr(err)
+	open.send(next, deadline)
+	closed.send(first, deadline)
+	err = <-next.done // The target closes the connection without a response.
+	is.True(err != nil)
+	is.True(!errors.Is(err, errNotSent))
+}
