End a call without closing the connection of the next one

What callers see: a request that breaks while its target works on it (unknown outcome; the target may drop it: "ran -, no end"), because the call before it on the connection ends only now. That is so after a streamed response without a body (HEAD, 204, 304), which the caller closes or cancels later, and when a deadline passes at the moment at which the response is complete.

Evidence, on the code before, TestEndedCallLeavesConnectionToNextRequest: close: forwarder: do: broken: read tcp ...: use of closed network connection cancel: forwarder: do: broken: read tcp ...: use of closed network connection

Change: the end of a call closes its connection only while it is the connection's current call (persistConn.abort).

--- a/request/forwarder/conn.go
+++ b/request/forwarder/conn.go
@@ -371,6 +371,18 @@
 	return true
 }
 
+// abort closes the connection if c is still its current call. After the end of c the
+// connection may be in use by another call.
+func (pc *persistConn) abort(c *callState) {
+	pc.mu.Lock()
+	closing := pc.current == c && !pc.closed
+	pc.closed = pc.closed || closing
+	pc.mu.Unlock()
+	if closing {
+		pc.release()
+	}
+}
+
 // close closes the connection and removes it from the pool; readLoop then ends the
 // current call. Further calls do nothing.
 func (pc *persistConn) close() {
@@ -415,13 +427,13 @@
 func (b *streamBody) Close() error { return nil }
 
 // CloseWithError ends the response and calls done. It closes the connection unless the
-// body was read to its end. The argument is ignored, and further calls do nothing.
+// body was read to its end or there was none. The argument is ignored, and further calls do nothing.
 func (b *streamBody) CloseWithError(error) error {
 	if b.call == nil {
 		return nil
 	}
 	if b.err != io.EOF {
-		b.call.conn.close()
+		b.call.conn.abort(b.call)
 	}
 	_ = b.call.conn.netConn.SetReadDeadline(time.Time{})
 	_ = b.call.resp.CloseBodyStream()
--- a/request/forwarder/forwarder.go
+++ b/request/forwarder/forwarder.go
@@ -193,7 +193,7 @@
 		return err
 	}
 	inner.Header.CopyTo(&resp.Header)
-	stop := context.AfterFunc(ctx, c.conn.close)
+	stop := context.AfterFunc(ctx, func() { c.conn.abort(c) })
 	resp.SetBodyStream(&streamBody{call: c, done: func() { stop(); done() }}, inner.Header.ContentLength())
 	return nil
 }
@@ -235,7 +235,7 @@
 	}
 	err, ended := f.await(ctx, c, timer)
 	if !ended {
-		pc.close()
+		pc.abort(c)
 		// The reader may still be writing to the response, so its end is awaited.
 		if <-c.done == nil && c.stream {
 			close(c.bodyPassed)
--- a/request/forwarder/idle_test.go
+++ b/request/forwarder/idle_test.go
@@ -128,3 +128,58 @@
 	is.True(err != nil)
 	is.True(!errors.Is(err, errNotSent))
 }
+
+// TestEndedCallLeavesConnectionToNextRequest guards against a request whose connection is
+// closed by the call before it: a response without a body ends before its caller closes
+// the empty stream.
+func TestEndedCallLeavesConnectionToNextRequest(t *testing.T) {
+	for _, end := range []string{"close", "cancel"} {
+		t.Run(end, func(t *testing.T) {
+			is := is.New(t)
+			second, respond := make(chan struct{}), make(chan struct{})
+			address := startTarget(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+				readHeader(r)
+				time.Sleep(20 * time.Millisecond)
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n")
+				readHeader(r)
+				close(second)
+				<-respond
+				_, _ = io.WriteString(conn, wholeResponse)
+			})
+			f := &Forwarder{Address: address, MaxConnections: 1}
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			head, stream := newRequest("/"), &fasthttp.Response{}
+			head.Header.SetMethod("HEAD")
+			is.NoErr(f.Stream(ctx, head, stream, time.Now().Add(testTimeout), Identity{}, func() {}))
+			awaitIdle(f)
+			done := make(chan error, 1)
+			go func() {
+				resp, err := get(f, "/")
+				t.Logf("%q %v", resp.Body(), err)
+				done <- err
+			}()
+			<-second
+			if end == "cancel" {
+				cancel()
+				time.Sleep(20 * time.Millisecond)
+			} else {
+				_ = stream.CloseBodyStream()
+			}
+			close(respond)
+			is.NoErr(<-done)
+		})
+	}
+}
+
+// awaitIdle waits until a connection is idle.
+func awaitIdle(f *Forwarder) {
+	for limit := time.Now().Add(testTimeout); time.Now().Before(limit); time.Sleep(time.Millisecond) {
+		f.mu.Lock()
+		n := len(f.idle)
+		f.mu.Unlock()
+		if n > 0 {
+			return
+		}
+	}
+}
