Take no response for that to a request that is not sent yet

Ids tell such a response apart; an interface whose targets need not echo them (translator.Own) has none.

Evidence, on the code before: TestResponseBeforeRequestIsNotItsResponse fails with "not true: errors.Is(err, errNotSent)": the call ended with the stray response, before anything was sent.

Change: a response that arrives before its request is sent names no request. The connection is closed, and the request takes another one, as nothing was sent.

After: green, with all tests of the package.

--- a/request/forwarder/conn.go
+++ b/request/forwarder/conn.go
@@ -265,7 +265,7 @@
 		if err := pc.readFinalHeader(c); err != nil {
 			return err
 		}
-		switch c.identity.match(&c.resp.Header) {
+		switch pc.match(c) {
 		case MatchOwn:
 			c.acknowledged.Store(true)
 			return nil
@@ -283,6 +283,19 @@
 	return &Error{"do", KindUnmatched, errors.Errorf("more than %d responses to other requests", maxForeignResponses)}
 }
 
+// match compares the header that was read for c with c. It is called for each response
+// before anything else in it is believed. A response that arrives before the request is
+// sent names no request, whatever it looks like.
+func (pc *persistConn) match(c *callState) Match {
+	m := c.identity.match(&c.resp.Header)
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	if !c.sent && m != MatchForeign {
+		return MatchNone
+	}
+	return m
+}
+
 // readFinalHeader reads the header of a final response and discards the interim
 // responses that precede it.
 func (pc *persistConn) readFinalHeader(c *callState) error {
--- a/request/forwarder/idle_test.go
+++ b/request/forwarder/idle_test.go
@@ -183,3 +183,30 @@
 		}
 	}
 }
+
+// TestResponseBeforeRequestIsNotItsResponse guards against a response that is taken for
+// that to a request which is not sent yet: the peer writes it as the idle connection is
+// taken.
+func TestResponseBeforeRequestIsNotItsResponse(t *testing.T) {
+	is := is.New(t)
+	taken := make(chan struct{})
+	address := startTarget(t, func(n int, conn net.Conn, r *bufio.Reader) {
+		if n == 0 {
+			<-taken
+			_, _ = io.WriteString(conn, wholeResponse)
+		}
+		readHeader(r)
+	})
+	f := &Forwarder{Address: address}
+	s := newCallState(call{req: newRequest("/"), resp: &fasthttp.Response{}})
+	pc, err := f.acquire(context.Background(), s, time.Now().Add(testTimeout))
+	is.NoErr(err)
+	close(taken)
+	select {
+	case err := <-s.done:
+		is.True(errors.Is(err, errNotSent)) // the request takes another connection
+	case <-time.After(testTimeout):
+		is.Fail()
+	}
+	pc.close()
+}
