Reuse a connection whose response arrives before its writer returns

What callers see: nothing; the node opens more connections than it needs. A fast response, a rejection above all, can be read before the goroutine that sent the request has marked it as sent, and the connection was then closed as one with an unsent rest of a body.

Evidence, 768 quick rejections in a row on one connection at a time that may carry 256 of them: TestRejectionsOfAConnectionAreBounded, whose bound was loose until here for this reason, counts 18 to 74 connections in place of 3.

Change: the end of a short request, whose writing does not block, waits for its writer. A long one still closes the connection, since its target may read the rest later.

--- a/request/forwarder/conn.go
+++ b/request/forwarder/conn.go
@@ -41,6 +41,7 @@
 	call
 
 	conn         *persistConn
+	short        bool          // short means that writing the request does not block.
 	sent         bool          // sent means that bytes of the request may have been sent; persistConn.mu guards it.
 	sendEnded    chan struct{} // sendEnded is closed when nothing more of the request is read or sent.
 	bodyPassed   chan struct{} // bodyPassed is closed when a streamed body is passed on or given up.
@@ -50,7 +51,7 @@
 
 // newCallState returns the state of a call that has no connection yet.
 func newCallState(c call) *callState {
-	return &callState{call: c, sendEnded: make(chan struct{}), bodyPassed: make(chan struct{}), done: make(chan error, 1)}
+	return &callState{call: c, short: len(c.req.Body()) <= smallBodyBytes, sendEnded: make(chan struct{}), bodyPassed: make(chan struct{}), done: make(chan error, 1)}
 }
 
 // persistConn is one connection with the goroutine that reads from it.
@@ -179,7 +180,7 @@
 			pc.finish(c, pc.errorOrNotSent(c, err))
 			return
 		}
-		if !reusable || !pc.markIdle() {
+		if !reusable || !pc.markIdle(c) {
 			pc.close()
 			pc.finish(c, nil)
 			return
@@ -371,9 +372,14 @@
 	}
 }
 
-// markIdle makes the connection idle. It returns false if unread bytes are left,
-// the request is still being written, or the connection is closed.
-func (pc *persistConn) markIdle() bool {
+// markIdle ends c and makes the connection idle. It returns false if unread bytes are
+// left, a long request is still being written, or the connection is closed. It waits for
+// the end of the writing of a short request, whose response can arrive before the writer
+// returns.
+func (pc *persistConn) markIdle(c *callState) bool {
+	if c.short {
+		<-c.sendEnded
+	}
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
 	if pc.closed || pc.writing || pc.br.Buffered() > 0 {
--- a/request/forwarder/forwarder.go
+++ b/request/forwarder/forwarder.go
@@ -228,7 +228,7 @@
 	c.conn = pc
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
-	if len(c.req.Body()) <= smallBodyBytes {
+	if c.short {
 		pc.send(c, deadline)
 	} else {
 		go pc.send(c, deadline) // The response may arrive before the whole body is sent.
--- a/request/forwarder/identity_test.go
+++ b/request/forwarder/identity_test.go
@@ -131,6 +131,5 @@
 		}
 		f.mu.Unlock()
 	}
-	t.Logf("%d connections", connections.Load())
-	is.True(connections.Load() >= 3 && connections.Load() < maxRejections)
+	is.Equal(connections.Load(), int64(3))
 }
