Test on real processes that no node denies an edit after the bound

Edits every 0.1 s, twelve callers that request the newest route that must be in force, and processes that are stopped for a part of the time: the node, the control hosts that it prefers, or both. A node must serve such a route or refuse as not ready.

--- a/stand/starter/mesh_integration_test.go
+++ b/stand/starter/mesh_integration_test.go
@@ -55,9 +55,12 @@
 
 // newMesh starts three control hosts, the nodes and two targets, creates the section, and
 // waits until every node serves it. A failed test logs the output of all processes.
-func newMesh(t *testing.T, nodes int) *Mesh {
+func newMesh(t *testing.T, nodes int) *Mesh { return newMeshOf(t, 3, nodes) }
+
+// newMeshOf does the same as newMesh with the given number of control hosts.
+func newMeshOf(t *testing.T, controlHosts, nodes int) *Mesh {
 	is := is.New(t)
-	m := &Mesh{Folder: t.TempDir(), ProgramFolder: programFolder, ControlHostCount: 3, NodeCount: nodes, DataCentreCount: 2, WriteTraces: true}
+	m := &Mesh{Folder: t.TempDir(), ProgramFolder: programFolder, ControlHostCount: controlHosts, NodeCount: nodes, DataCentreCount: 2, WriteTraces: true}
 	t.Cleanup(func() {
 		m.KillAll()
 		if t.Failed() {
