Log on control hosts when a version is applied and when reads are not confirmed

A node's log now says when a version was in force there; nothing said when the leader acknowledged it, when the host that the node calls had it, or that this host could not confirm its state meanwhile.

SyncReply has a new field VersionAge, so that a node's line says how long its host had the version; older processes ignore it. The wait of a Sync now counts from its arrival and not from the end of its round, so that a node knows when its reply is due.

--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -127,6 +127,7 @@
 	nodes        nodeTable
 	batcher      batcher
 	packer       packer
+	versions     versionTimes
 	evidence     evidenceBuffer
 	position     atomic.Pointer[cachedPosition]
 	listener     net.Listener
@@ -176,8 +177,14 @@
 	c.replicas[configIndex] = c.newGroupReplica(messenger.GroupConfig, c.state)
 	c.replicas[claimsIndex] = c.newGroupReplica(messenger.GroupClaims, c.registry)
 	for i, name := range []string{messenger.GroupConfig, messenger.GroupClaims} {
+		var confirmation readConfirmation
 		c.readIndexers[i] = &readIndexer{
-			round:    func(ctx context.Context) error { return c.awaitReadIndex(ctx, name) },
+			round: func(ctx context.Context) error {
+				startedAt := time.Now()
+				err := c.awaitReadIndex(ctx, name)
+				c.logRound(&confirmation, name, startedAt, err)
+				return err
+			},
 			interval: func() time.Duration { return readIndexInterval(len(c.replicas[i].group.Status().Membership.Members)) },
 		}
 	}
@@ -249,6 +256,7 @@
 	}
 	c.tasks.Go(func() { c.batcher.loop(work) })
 	c.tasks.Go(func() { c.monitorNodes(work) })
+	c.tasks.Go(func() { c.watchVersions(work) })
 	c.tasks.Go(func() { c.runMoves(work) })
 	if c.Hosts != nil {
 		c.tasks.Go(func() { c.maintainMembership(work) })
--- a/process/controller/methods.go
+++ b/process/controller/methods.go
@@ -47,14 +47,15 @@
 	if args.Known < len(reply.Hosts) {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), min(args.Wait, maxSyncWait)+peerTimeout)
+	// The wait includes the read-index round, so that the node knows when to expect the reply.
+	deadline := time.Now().Add(min(args.Wait, maxSyncWait))
+	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(peerTimeout))
 	defer cancel()
 	// The read-index round must begin after the node's call; otherwise this host
 	// could serve a stale state from the minority side of a partition.
 	if err := c.readIndexers[configIndex].wait(ctx, time.Now().Add(syncReadIndexTimeout)); err != nil {
 		return nil
 	}
-	deadline := time.Now().Add(min(args.Wait, maxSyncWait))
 	for {
 		state, changed := c.state.Watch()
 		c.nodes.recordHeartbeat(args.Report, state.Version)
@@ -65,6 +66,7 @@
 		if !upToDate(update, args.Have) || left <= 0 {
 			b, err := c.packer.pack(update)
 			reply.Update, reply.Confirmed = b, err == nil
+			reply.VersionAge = c.versions.age(state.Version, time.Now())
 			return err
 		}
 		if awaitChange(ctx, changed, left) {
