TestPlatformWholePath: give the bound on configuration, and an own loopback network

Cause: the test fills the templates in deploy/ without bounds.configApplyMs, which deploy/node.yaml has used since node.maxConfirmationAge was added: the nodes ended with '"<nil>ms" is not a length of time'. Two runs of the test at a time also shared the addresses 127.0.9.x:9464, since the admin port is fixed in the templates: 'bind: address already in use', seen twice beside another run of the package.

Change: the field, and addresses in a network of the process id. Green in 7.2 s beside other runs of the package.

--- a/stand/starter/platform_integration_test.go
+++ b/stand/starter/platform_integration_test.go
@@ -61,8 +61,12 @@
 	return ports
 }
 
-// processIP returns the loopback address of the process with index i.
-func processIP(i int) string { return fmt.Sprintf("127.0.9.%d", i+1) }
+// processIP returns the loopback address of the process with index i. It is in a network
+// of this run alone, since the admin port of the templates is the same in every run.
+func processIP(i int) string {
+	run := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+run>>8&0x7f, run&0xff, i+1)
+}
 
 // address returns the IP and port of process i; port is one of the indexes above.
 func (m *platformMesh) address(i, port int) string {
@@ -78,7 +82,7 @@
 		"seeds":   []any{m.address(0, controlPort), m.address(1, controlPort), m.address(2, controlPort)},
 		"service": "svc1", "tolerate": map[string]any{"machines": 1},
 		"limits": map[string]any{"memoryMb": 280, "linkMbps": 1000.0},
-		"bounds": map[string]any{"graceS": 6, "retryRatio": 0.2, "retrySlack": 56},
+		"bounds": map[string]any{"graceS": 6, "configApplyMs": 2000, "retryRatio": 0.2, "retrySlack": 56},
 		"listen": map[string]any{"control": m.address(i, controlPort), "readinessAddr": m.address(i, readinessPort),
 			"inbound": m.address(i, inboundPort), "outbound": m.address(i, outboundPort)},
 	}
