Log a failed round of calls to control hosts only when it differs from the last

During an outage each round wrote the same line, six a second at a node that was not ready. Now a line comes when the hosts that failed, their steps, or the host that confirmed the configuration change; the counters of failed steps count all.

--- a/process/subscriber/round.go
+++ b/process/subscriber/round.go
@@ -74,6 +74,7 @@
 	calls    []syncCall // calls are all calls in order.
 	excluded []string   // excluded are the hosts that this round does not call again.
 	failures []string   // failures describe the failed calls, for the log.
+	summary  []string   // summary holds the host and step of each failed call.
 	rejected bool       // rejected means that a host sent an update that the node could not apply.
 	stalled  bool       // stalled means that the process got no processor time during the round.
 }
@@ -195,6 +196,7 @@
 		text += ": " + err.Error()
 	}
 	r.failures = append(r.failures, text)
+	r.summary = append(r.summary, c.host+" "+string(step))
 }
 
 // abandonOpenCalls records the calls without a reply as failed.
@@ -216,9 +218,14 @@
 	}
 }
 
-// logFailures logs a round with failed calls; host is the one that confirmed the table.
+// logFailures logs a round with failed calls, unless the round before failed in the same
+// way. host is the one that confirmed the table.
 func (r *round) logFailures(host string) {
-	if len(r.failures) == 0 || !r.s.AsyncLogger.AllowLine(lineFailures) {
+	slices.Sort(r.summary)
+	summary := strings.Join(append(r.summary, host), ", ")
+	same := summary == r.s.lastSummary
+	r.s.lastSummary = summary
+	if same || len(r.failures) == 0 || !r.s.AsyncLogger.AllowLine(lineFailures) {
 		return
 	}
 	r.s.Log.Warn(lineFailures, "confirmedBy", host, "failures", strings.Join(r.failures, ", "), "confirmationAgeMs", r.s.confirmationAge().Milliseconds(),
--- a/process/subscriber/subscriber.go
+++ b/process/subscriber/subscriber.go
@@ -95,7 +95,8 @@
 	MaxConfirmationAge time.Duration
 	Now                func() time.Time // Now is the clock of confirmations, clock.Now when nil.
 
-	pool messenger.Pool
+	pool        messenger.Pool
+	lastSummary string // lastSummary describes the failures of the last round; syncLoop alone uses it.
 
 	mu           sync.Mutex
 	compiler     compiler.Compiler
