Differ: one endpoint for each key, also from a list with two

A list of targets that names a target twice, or the target of another node, is a command in the log like any other. From then on every node rejects every update ("digest: result differs from the sender's state"), requests the whole state, rejects it as well, and so follows neither the endpoints nor the configuration until the node in question announces another list.

Cause: the state keeps both entries, and the control host's digest covers both, while a node stores one endpoint for each key (mergeSorted), so that the digests never match. Own nodes announce each target once; another writer's list, or the entry that it left in the state, is enough.

The state and Apply are unchanged, so hosts of both builds agree; nodes of an earlier build follow a control host of this one.

TestOddAnnouncementStopsNodes (16 lists, in a batch between those of good nodes) without the change: red in the_same_target_twice, the_same_target_at_two_addresses, the_same_target_three_times, the_target_of_another_node, the_list_of_another_node_as_well, empty_entry: announcement_test.go:74: not true: node.store.Table() != nil With it: green, also with -race.

--- a/version/differ/differ.go
+++ b/version/differ/differ.go
@@ -107,7 +107,7 @@
 
 // SnapshotOf returns the snapshot of a node that is up to date with the state.
 func SnapshotOf(s applier.State) Snapshot {
-	snapshot := Snapshot{Version: s.Version, Traffics: s.Traffics, Revision: s.Revision, Endpoints: s.Endpoints, PoisonRequests: s.PoisonRequests}
+	snapshot := Snapshot{Version: s.Version, Traffics: s.Traffics, Revision: s.Revision, Endpoints: uniqueEndpoints(s.Endpoints), PoisonRequests: s.PoisonRequests}
 	for _, source := range s.Sources() {
 		snapshot.Sections = append(snapshot.Sections, Section{Name: source.Name, Body: source.Body})
 	}
@@ -160,7 +160,7 @@
 		u.FromRevision = 0
 	}
 	u.Suspects = s.PoisonRequests
-	for _, e := range s.Endpoints {
+	for _, e := range uniqueEndpoints(s.Endpoints) {
 		if e.Modified > u.FromRevision {
 			u.Endpoints = append(u.Endpoints, e)
 		}
@@ -175,6 +175,32 @@
 	}
 }
 
+// uniqueEndpoints returns sorted endpoints with only one of those that have the same
+// key: the one that was modified last. A node stores one endpoint for each key, so the
+// digest of a list with two would never match. The list itself is returned if its keys
+// are unique, and is not modified otherwise.
+func uniqueEndpoints(list []applier.Endpoint) []applier.Endpoint {
+	sameKey := func(a, b applier.Endpoint) bool { return a.EndpointKey == b.EndpointKey }
+	first := 1
+	for first < len(list) && !sameKey(list[first-1], list[first]) {
+		first++
+	}
+	if first >= len(list) {
+		return list
+	}
+	out := slices.Clone(list[:first])
+	for _, e := range list[first:] {
+		last := &out[len(out)-1]
+		switch {
+		case !sameKey(*last, e):
+			out = append(out, e)
+		case e.Modified >= last.Modified:
+			*last = e
+		}
+	}
+	return out
+}
+
 // Apply returns the snapshot after an update. On an error it returns the current
 // snapshot; the node then requests the whole state.
 func Apply(current Snapshot, u Update) (Snapshot, error) {
