Applier: propose no endpoint that no node can have announced

The leader proposed the lists of nodes as it received them, up to 256 in one command. A list with a name that isn't valid UTF-8 was encoded, but no host can decode that command: all hosts counted a violation of commandDecodes, none of the lists in the batch got into the state, and the leader reported them as accepted (an empty result). Each repetition by the odd writer did the same to the lists that came with it. Other odd entries got into the state of all hosts and the tables of all nodes: ports out of range, no address, the target of another node, a target twice, negative slots, lists of 20000 targets.

Now Encode leaves out the endpoints that no node of this project announces: names other than those the registrar and the settings accept, addresses that aren't IP:PORT with a port from 1 to 65535, slots or connections out of range, entries of another node than their list, repeated ones and those beyond 1024 a node. They are counted in hornbeam_endpoints_rejected_total; the rest of the list and the other lists are proposed. What Apply makes of a command is unchanged, so that hosts of both builds hold the same state.

The test of the nodes' side puts its lists into the log directly.

--- a/version/applier/applier_test.go
+++ b/version/applier/applier_test.go
@@ -137,7 +137,7 @@
 	for _, target := range targets {
 		name, version, _ := strings.Cut(target, ":")
 		a.Endpoints = append(a.Endpoints, applier.Endpoint{EndpointKey: applier.EndpointKey{Node: node, Target: name},
-			Incarnation: incarnation, Service: "designs", Version: version})
+			Incarnation: incarnation, Address: "10.0.0.1:7101", DataCentre: "dc-1", Service: "designs", Version: version})
 	}
 	return applier.Announce{Announcements: []applier.Announcement{a}, At: at}
 }
--- a/version/applier/command.go
+++ b/version/applier/command.go
@@ -128,7 +128,9 @@
 	Replace  *ReplaceDocument `cbor:"8,keyasint,omitempty"`
 }
 
-// Encode returns a command as it is stored in the log.
+// Encode returns a command as it is stored in the log. The lists of an Announce are
+// encoded without the endpoints that no node can have announced, so that an odd one
+// affects neither the others nor the hosts that apply the command.
 func Encode(c Command) ([]byte, error) {
 	var r commandRecord
 	switch c := c.(type) {
@@ -141,6 +143,7 @@
 	case StepMove:
 		r.Step = &c
 	case Announce:
+		c = c.withoutInvalid()
 		r.Announce = &c
 	case ExpireNodes:
 		r.Expire = &c
--- a/version/applier/endpoints.go
+++ b/version/applier/endpoints.go
@@ -2,10 +2,75 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"slices"
 	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/hornbeamrack/hornbeamrack/version/parser"
+)
+
+const (
+	// MaxNodeEndpoints is the maximum number of endpoints in the list of one node.
+	MaxNodeEndpoints = 1024
+	// maxEndpointSlots bounds the slots and the connections of one endpoint.
+	maxEndpointSlots = 100_000
 )
 
+// rejectedEndpoints counts the endpoints that were not proposed.
+var rejectedEndpoints = metrics.NewCounter("hornbeam_endpoints_rejected_total")
+
+// Dialable reports whether the address of the endpoint is an IP address and a port.
+func (e Endpoint) Dialable() bool {
+	address, err := netip.ParseAddrPort(e.Address)
+	return err == nil && address.Port() > 0
+}
+
+// valid reports whether a node can have announced the endpoint.
+func (e Endpoint) valid() bool {
+	for _, name := range []string{e.Node, e.Target, e.Service, e.Version, e.DataCentre} {
+		if !parser.ValidName(name) {
+			return false
+		}
+	}
+	return e.Dialable() && e.Slots >= 0 && e.Slots <= maxEndpointSlots && e.Connections >= 0 && e.Connections <= maxEndpointSlots
+}
+
+// withoutInvalid returns the command without the endpoints that no node can have
+// announced: invalid ones, those of another node than their list, repeated ones, and
+// those beyond MaxNodeEndpoints. It is called before the command is proposed and not
+// when it is applied, so that all hosts apply the same.
+func (c Announce) withoutInvalid() Announce {
+	lists := make([]Announcement, 0, len(c.Announcements))
+	for _, a := range c.Announcements {
+		if !parser.ValidName(a.Node) {
+			rejectedEndpoints.Add(len(a.Endpoints))
+			continue
+		}
+		lists = append(lists, a.withoutInvalid())
+	}
+	c.Announcements = lists
+	return c
+}
+
+// withoutInvalid returns the list without the endpoints that its node can't have
+// announced.
+func (a Announcement) withoutInvalid() Announcement {
+	seen := make(map[string]bool, len(a.Endpoints))
+	kept := make([]Endpoint, 0, len(a.Endpoints))
+	for _, e := range a.Endpoints {
+		if len(kept) == MaxNodeEndpoints || e.Node != a.Node || seen[e.Target] || !e.valid() {
+			rejectedEndpoints.Inc()
+			continue
+		}
+		seen[e.Target] = true
+		kept = append(kept, e)
+	}
+	a.Endpoints = kept
+	return a
+}
+
 // announce replaces the endpoints of the announcing nodes. An announcement from
 // an earlier incarnation of its node is dropped.
 func (s State) announce(index uint64, c Announce) State {
--- a/version/compiler/announcement_test.go
+++ b/version/compiler/announcement_test.go
@@ -23,8 +23,9 @@
 }
 
 // TestOddAnnouncementStopsNodes guards against an entry of one node's list that keeps
-// all nodes from following the configuration. Each row is a list of another writer; in
-// the one batch with it, and afterwards, good nodes announce their targets.
+// all nodes from following the configuration. Each row is a list of another writer that
+// is in the log; in the one batch with it, and afterwards, good nodes announce their
+// targets.
 func TestOddAnnouncementStopsNodes(t *testing.T) {
 	twice := endpoint("odd", "t1", "10.0.0.9:1")
 	negative, huge, empty := twice, twice, applier.Endpoint{}
@@ -90,12 +91,12 @@
 			}
 			edit(0)
 			sim.apply(applier.Announce{Announcements: []applier.Announcement{good(1)}, At: at})
-			sim.apply(applier.Announce{Announcements: []applier.Announcement{good(2), row.list, good(3)}, At: at})
+			sim.applyDecoded(applier.Announce{Announcements: []applier.Announcement{good(2), row.list, good(3)}, At: at})
 			follows(current, "/r0")
 			edit(1)
 			follows(current, "/r1")
 			follows(&nodeState{}, "/r1") // a node that starts now
-			sim.apply(applier.Announce{Announcements: []applier.Announcement{row.list}, At: at})
+			sim.applyDecoded(applier.Announce{Announcements: []applier.Announcement{row.list}, At: at})
 			sim.apply(applier.ExpireNodes{Nodes: []applier.NodeID{{Node: "odd", Incarnation: 1}}, At: at})
 			edit(2)
 			follows(current, "/r2")
--- a/version/compiler/compiler_test.go
+++ b/version/compiler/compiler_test.go
@@ -37,6 +37,12 @@
 	if err != nil {
 		sim.t.Fatal(err)
 	}
+	return sim.applyDecoded(c)
+}
+
+// applyDecoded applies a command that is in the log, also one that is not proposed any
+// more.
+func (sim *simulation) applyDecoded(c applier.Command) applier.Result {
 	var r applier.Result
 	sim.state, r = sim.state.Next(uint64(len(sim.states)+1), c)
 	sim.states = append(sim.states, sim.state)
@@ -64,7 +70,7 @@
 		a := applier.Announcement{Node: node, Incarnation: 1}
 		for i := range sim.r.IntN(4) {
 			a.Endpoints = append(a.Endpoints, applier.Endpoint{EndpointKey: applier.EndpointKey{Node: node, Target: fmt.Sprintf("t%d", i)}, Incarnation: 1,
-				Service: fmt.Sprintf("svc%d", sim.r.IntN(5)), Version: fmt.Sprintf("v%d", sim.r.IntN(2)+1), DataCentre: "dc-1"})
+				Service: fmt.Sprintf("svc%d", sim.r.IntN(5)), Version: fmt.Sprintf("v%d", sim.r.IntN(2)+1), DataCentre: "dc-1", Address: "10.0.0.1:7101"})
 		}
 		sim.apply(applier.Announce{Announcements: []applier.Announcement{a}, At: at})
 	case 5:
