Compiler: leave an endpoint that can't be dialled out of the table

An endpoint whose address has a port out of range, or no port, was in the table of each node like any other: the balancer selects it, the dial fails, and the request has lost an attempt.

Compile leaves it out, counts it in Table.UndialableEndpoints and hornbeam_undialable_endpoints_total, and builds the rest.

Without the change TestUndialableEndpointGetsRequests is red in 11 of 11 rows: 2 != 1 endpoints in the pool. With it: green, also with -race.

--- a/version/compiler/announcement_test.go
+++ b/version/compiler/announcement_test.go
@@ -22,6 +22,25 @@
 	return applier.Announcement{Node: node, Incarnation: 1, Endpoints: endpoints}
 }
 
+// TestUndialableEndpointGetsRequests guards against an endpoint whose address can't be
+// dialled in the tables of nodes, where it would be selected like any other.
+func TestUndialableEndpointGetsRequests(t *testing.T) {
+	for _, address := range []string{"10.0.0.9:99999", "10.0.0.9:0", "10.0.0.9:-1", "10.0.0.9:", "10.0.0.9", ":80", "10.0.0.9:http", "", "10.0.0.999:80", "[::1:80", "10.0.0.9:1\n"} {
+		t.Run(address, func(t *testing.T) {
+			is := is.New(t)
+			sim, node := newSimulation(t, 1), &nodeState{}
+			sim.apply(applier.EditSection{EditID: "e", Section: "s0", Team: "t", Action: applier.ActionEdit, Body: []byte("services: [{name: svc0}]\n"), At: at})
+			odd := announcement("odd", endpoint("odd", "t1", address), endpoint("odd", "t2", "[fd00::9]:7101"))
+			sim.applyDecoded(applier.Announce{Announcements: []applier.Announcement{odd}, At: at})
+			is.NoErr(node.applyUpdate(node.requestUpdate(sim.state)))
+			pool := node.store.Table().Service("svc0").Pool("v1")
+			is.Equal(len(pool.Remote), 1)
+			is.Equal(pool.Remote[0].Target, "t2")
+			is.Equal(node.store.Table().UndialableEndpoints, 1)
+		})
+	}
+}
+
 // TestOddAnnouncementStopsNodes guards against an entry of one node's list that keeps
 // all nodes from following the configuration. Each row is a list of another writer that
 // is in the log; in the one batch with it, and afterwards, good nodes announce their
--- a/version/compiler/compiler.go
+++ b/version/compiler/compiler.go
@@ -30,6 +30,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 
 	"github.com/hornbeamrack/hornbeamrack/common/asserter"
@@ -61,6 +62,9 @@
 // Unwrap returns the underlying error.
 func (e *Error) Unwrap() error { return e.Err }
 
+// undialableTotal counts the endpoints that were left out of tables.
+var undialableTotal = metrics.NewCounter("hornbeam_undialable_endpoints_total")
+
 // Pool holds the endpoints of one target version of a service.
 type Pool struct {
 	Version string
@@ -107,6 +111,7 @@
 	Version                   uint64
 	Revision                  uint64
 	UndefinedServiceEndpoints int // UndefinedServiceEndpoints is the number of endpoints whose service is not defined.
+	UndialableEndpoints       int // UndialableEndpoints is the number of endpoints whose address is not an IP address and a port.
 	Limits                    parser.Limits
 	NodeCount                 int // NodeCount is the number of nodes that have targets.
 	index                     index
@@ -227,9 +232,14 @@
 	return applier.Traffic{Service: service}
 }
 
-// addEndpoint adds an endpoint to the pool of its version, or counts it if its
-// service is not defined.
+// addEndpoint adds an endpoint to the pool of its version, or counts it if it can't be
+// dialled or its service is not defined.
 func (t *Table) addEndpoint(e applier.Endpoint, dataCentre string) {
+	if !e.Dialable() {
+		t.UndialableEndpoints++
+		undialableTotal.Inc()
+		return
+	}
 	s := t.Service(e.Service)
 	if s == nil {
 		t.UndefinedServiceEndpoints++
@@ -257,7 +267,7 @@
 			}
 		}
 	}
-	n := t.UndefinedServiceEndpoints
+	n := t.UndefinedServiceEndpoints + t.UndialableEndpoints
 	for _, s := range t.services {
 		for _, p := range s.Pools {
 			n += len(p.Local) + len(p.Remote)
