--- a/process/recorder/recorder.go
+++ b/process/recorder/recorder.go
@@ -1,9 +1,9 @@
 // Package recorder stores the durable state of one replicated group: the term
 // and vote, the log entries, and snapshots.
 //
-// The log is a sequence of segment files. Each Save writes one record: a header
-// with its own checksum and a body with another, followed by one sync. A record is
-// therefore written only after the one before it was synced, and a crash can damage
+// The log is a sequence of segment files. Each Save writes one record, or several for
+// a large batch: a header with its own checksum and a body with another, followed by one
+// sync. A record is therefore written only after the one before it was synced, and a crash can damage
 // only the last record. Open uses this to distinguish two cases of damage:
 //
 //   - The last record is incomplete, or ends in blocks of zeros: the host crashed
@@ -26,9 +26,11 @@
 package recorder
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
+	"math"
 	"os"
 	"strings"
 
@@ -37,9 +39,18 @@
 )
 
 const (
-	// MaxRecordBytes bounds the body of one record.
+	// MaxRecordBytes bounds the body of one record of the log.
 	MaxRecordBytes = 64 << 20
 
+	// maxBodyBytes bounds the body of a file that holds one record: the identity, and
+	// snapshots, whose size is that of the state.
+	maxBodyBytes = math.MaxInt32
+
+	// recordOverheadBytes and entryOverheadBytes bound the bytes of a record without its
+	// entries, and of an entry without its data.
+	recordOverheadBytes = 1 << 10
+	entryOverheadBytes  = 64
+
 	headerBytes    = 12  // body length, body checksum, header checksum; four bytes each
 	zeroBlockBytes = 512 // zeroBlockBytes is the size of a disk block; one that was never written reads as zeros.
 	segmentPrefix  = "log-"
@@ -113,7 +124,7 @@
 	Data       []byte `cbor:"4,keyasint"`
 }
 
-// Batch is the content of one record. HardState is nil when it is unchanged.
+// Batch is what one Save writes, and the content of a record. HardState is nil when it is unchanged.
 // Entries replace everything in the log from their first index on.
 type Batch struct {
 	HardState *HardState `cbor:"1,keyasint,omitempty"`
@@ -174,20 +185,23 @@
 	return state, nil
 }
 
-// Save appends a batch to the log and syncs it. It returns KindTooBig, with nothing
-// written, for a batch over MaxRecordBytes; KindIO when the write or sync fails; and
-// KindFailed after an earlier failure.
+// Save appends a batch to the log and syncs it, in several records if it exceeds
+// MaxRecordBytes. It returns KindTooBig, with nothing written, for an entry over
+// MaxRecordBytes; KindIO when the write or sync fails; and KindFailed after an earlier
+// failure.
 func (r *Recorder) Save(b Batch) error {
 	if r.failure != nil {
 		return &Error{"save", KindFailed, r.failure}
 	}
-	record, err := encodeRecord(b)
+	records, err := encodeRecords(b)
 	if err != nil {
 		return err
 	}
-	if err := r.writeRecord(record); err != nil {
-		r.failure = err
-		return &Error{"save", KindIO, err}
+	for _, record := range records {
+		if err := r.writeRecord(record); err != nil {
+			r.failure = err
+			return &Error{"save", KindIO, err}
+		}
 	}
 	if b.HardState != nil {
 		r.hardState = *b.HardState
@@ -221,6 +235,9 @@
 	if err != nil {
 		return err
 	}
+	if len(body) > maxBodyBytes {
+		return errors.Errorf("snapshot of %d bytes exceeds the limit of %d bytes", len(body), maxBodyBytes)
+	}
 	if err := r.Disk.Replace(snapshotName(s.Index), frameRecord(body)); err != nil {
 		return err
 	}
@@ -242,15 +259,15 @@
 	return nil
 }
 
-// startSegment creates a new segment whose first record repeats the hard state and
+// startSegment creates a new segment whose first records repeat the hard state and
 // the entries that are still needed.
 func (r *Recorder) startSegment(rest []Entry) error {
 	hard := r.hardState
-	record, err := encodeRecord(Batch{HardState: &hard, Entries: rest})
+	records, err := encodeRecords(Batch{HardState: &hard, Entries: rest})
 	if err != nil {
 		return err
 	}
-	if err := r.Disk.Replace(segmentName(r.segmentNumber+1), record); err != nil {
+	if err := r.Disk.Replace(segmentName(r.segmentNumber+1), bytes.Join(records, nil)); err != nil {
 		return err
 	}
 	file, err := r.Disk.Append(segmentName(r.segmentNumber + 1))
@@ -295,7 +312,7 @@
 	if err != nil {
 		return &Error{"read", KindIO, err}
 	}
-	body, rest, ok := splitRecord(raw)
+	body, rest, ok := splitRecord(raw, maxBodyBytes)
 	if !ok || len(rest) > 0 {
 		return &Error{"read", KindCorrupt, errors.Errorf("%s: checksum does not match; replace this control host", name)}
 	}
@@ -314,7 +331,7 @@
 	}
 	rest := raw
 	for len(rest) > 0 {
-		body, next, ok := splitRecord(rest)
+		body, next, ok := splitRecord(rest, MaxRecordBytes)
 		if !ok {
 			offset := len(raw) - len(rest)
 			if !last || !isTornWrite(rest) {
@@ -367,16 +384,38 @@
 	return nil
 }
 
-// encodeRecord returns the record of a batch.
-func encodeRecord(b Batch) ([]byte, error) {
-	body, err := encoder.Marshal(b)
-	if err != nil {
-		return nil, &Error{"encode", KindIO, err}
+// encodeRecords returns the records of a batch. The first holds the hard state, and each
+// as many of the entries as MaxRecordBytes allows.
+func encodeRecords(b Batch) ([][]byte, error) {
+	var records [][]byte
+	for rest := b.Entries; ; {
+		n := entriesPerRecord(rest)
+		body, err := encoder.Marshal(Batch{HardState: b.HardState, Entries: rest[:n]})
+		if err != nil {
+			return nil, &Error{"encode", KindIO, err}
+		}
+		if len(body) > MaxRecordBytes {
+			return nil, &Error{"encode", KindTooBig, errors.Errorf("record of %d bytes exceeds the limit of %d bytes", len(body), MaxRecordBytes)}
+		}
+		records = append(records, frameRecord(body))
+		if rest = rest[n:]; len(rest) == 0 {
+			return records, nil
+		}
+		b.HardState = nil
 	}
-	if len(body) > MaxRecordBytes {
-		return nil, &Error{"encode", KindTooBig, errors.Errorf("record of %d bytes exceeds the limit of %d bytes", len(body), MaxRecordBytes)}
+}
+
+// entriesPerRecord returns how many of the first entries one record holds: at least
+// one, if there is any.
+func entriesPerRecord(entries []Entry) int {
+	size := recordOverheadBytes
+	for i, e := range entries {
+		size += entryOverheadBytes + len(e.Data)
+		if size > MaxRecordBytes && i > 0 {
+			return i
+		}
 	}
-	return frameRecord(body), nil
+	return len(entries)
 }
 
 // frameRecord returns a record: body with its header before it.
@@ -389,13 +428,14 @@
 }
 
 // splitRecord returns the body of the first record in raw and the bytes after it;
-// ok is false when the record is incomplete or a checksum does not match.
-func splitRecord(raw []byte) (body, rest []byte, ok bool) {
+// ok is false when the record is incomplete, a checksum does not match, or the body has
+// more than maxBytes.
+func splitRecord(raw []byte, maxBytes int) (body, rest []byte, ok bool) {
 	if len(raw) < headerBytes || crc32.Checksum(raw[:8], castagnoliTable) != binary.BigEndian.Uint32(raw[8:]) {
 		return nil, nil, false
 	}
 	n := int(binary.BigEndian.Uint32(raw))
-	if n > MaxRecordBytes || len(raw)-headerBytes < n {
+	if n > maxBytes || len(raw)-headerBytes < n {
 		return nil, nil, false
 	}
 	body = raw[headerBytes : headerBytes+n]
@@ -447,7 +487,7 @@
 	if err != nil {
 		return nil, &Error{"identity", KindIO, err}
 	}
-	body, rest, ok := splitRecord(raw)
+	body, rest, ok := splitRecord(raw, maxBodyBytes)
 	if !ok || len(rest) > 0 {
 		return nil, &Error{"identity", KindCorrupt, errors.New("checksum of the identity file does not match; replace this control host")}
 	}
--- a/process/recorder/recorder_test.go
+++ b/process/recorder/recorder_test.go
@@ -128,6 +128,61 @@
 	is.True(recorder.IsKind(err, recorder.KindCorrupt))
 }
 
+// largeEntries returns entries whose data exceeds MaxRecordBytes in total.
+func largeEntries(from uint64) []recorder.Entry {
+	data := make([]byte, recorder.MaxRecordBytes/4)
+	var out []recorder.Entry
+	for i := range uint64(6) {
+		out = append(out, recorder.Entry{Index: from + i, Term: 1, Data: data})
+	}
+	return out
+}
+
+// TestLargeStateEndsEachStart guards against a snapshot, or entries after it, that Compact
+// writes and Open rejects as damaged: the host then ends at each start.
+func TestLargeStateEndsEachStart(t *testing.T) {
+	for _, row := range []struct {
+		name string
+		size int // size is that of the state in bytes.
+		rest []recorder.Entry
+	}{
+		{"state", recorder.MaxRecordBytes + 1, nil},
+		{"entries", 1, largeEntries(4)},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			d, _ := diskWithRecords(t, 3)
+			r, _, err := openRecorder(t, d)
+			is.NoErr(err)
+			is.NoErr(r.Compact(recorder.Snapshot{Index: 3, Term: 1, Data: make([]byte, row.size)}, row.rest))
+			next := uint64(4 + len(row.rest))
+			is.NoErr(r.Save(recorder.Batch{Entries: []recorder.Entry{entry(next)}}))
+			_, s, err := openRecorder(t, d)
+			is.NoErr(err)
+			is.Equal(len(s.Snapshot.Data), row.size)
+			is.Equal(len(s.Entries), len(row.rest)+1)
+			is.Equal(s.HardState.Term, uint64(1))
+		})
+	}
+}
+
+// TestManyLargeEntriesEndTheHost guards against a batch of entries, each within the
+// limit, that can't be saved as a whole. The group ends when it can't save.
+func TestManyLargeEntriesEndTheHost(t *testing.T) {
+	is := is.New(t)
+	d := &faker.Disk{}
+	r, _, err := openRecorder(t, d)
+	is.NoErr(err)
+	is.NoErr(r.Save(recorder.Batch{HardState: &recorder.HardState{Term: 1}, Entries: largeEntries(1)}))
+	tooLarge := recorder.Entry{Index: 7, Term: 1, Data: make([]byte, recorder.MaxRecordBytes+1)}
+	is.True(recorder.IsKind(r.Save(recorder.Batch{Entries: []recorder.Entry{entry(7), tooLarge}}), recorder.KindTooBig))
+	is.NoErr(r.Save(recorder.Batch{Entries: []recorder.Entry{entry(7)}})) // nothing was written
+	_, s, err := openRecorder(t, d)
+	is.NoErr(err)
+	is.Equal(len(s.Entries), 7)
+	is.Equal(s.HardState.Term, uint64(1))
+}
+
 // FuzzReplay opens a log of arbitrary bytes. It guards against panics and against a
 // truncation beyond the length of the file.
 func FuzzReplay(f *testing.F) {
