Executor: reject durations between nodes that overflow

Times in an order and in a load report are microseconds; a large number overflows when it becomes a duration. An order with such a deadline ran against an arbitrary one, in the past or in 292 years. A load report with a negative count or wait, or one of years, was valid: added to the expected processing time it overflows, which makes the target the cheapest of all or keeps it from being selected.

Now an order whose number doesn't fit a duration is rejected like other malformed orders, and a load report with a negative or such a number, or a time of more than a week, is not Valid, so the balancer ignores it. Owner nodes send neither negative counts nor negative times.

--- a/request/executor/order.go
+++ b/request/executor/order.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"math"
 	"net/url"
 	"strconv"
 	"strings"
@@ -31,8 +32,12 @@
 	NoWait bool
 }
 
-// orderFieldCount is the number of fields of an order header.
-const orderFieldCount = 15
+const (
+	// orderFieldCount is the number of fields of an order header.
+	orderFieldCount = 15
+	// maxHeaderDuration is the longest duration that a header between nodes can hold.
+	maxHeaderDuration = time.Duration(math.MaxInt64)
+)
 
 // Encode returns the order as one header value. A moment is sent as the time left
 // until it in microseconds, since clocks differ between hosts.
@@ -71,20 +76,31 @@
 		return Order{}, &Error{"decodeOrder", KindInvalid, err}
 	}
 	o.Rank = rank
-	processingTime, err := strconv.ParseInt(f[12], 10, 64)
-	if err != nil {
+	if o.ProcessingTime, err = parseMicroseconds(f[12]); err != nil {
 		return Order{}, &Error{"decodeOrder", KindInvalid, err}
 	}
-	o.ProcessingTime = time.Duration(processingTime) * time.Microsecond
 	for _, t := range []struct {
 		field string
 		value *time.Time
 	}{{f[7], &o.Deadline}, {f[8], &o.QueueDeadline}, {f[10], &o.SoftDeadline}} {
-		left, err := strconv.ParseInt(t.field, 10, 64)
+		left, err := parseMicroseconds(t.field)
 		if err != nil {
 			return Order{}, &Error{"decodeOrder", KindInvalid, err}
 		}
-		*t.value = now.Add(time.Duration(left) * time.Microsecond)
+		*t.value = now.Add(left)
 	}
 	return o, nil
 }
+
+// parseMicroseconds returns the duration for a number of microseconds in text. It
+// returns an error if text is not an integer, or its duration overflows.
+func parseMicroseconds(text string) (time.Duration, error) {
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return 0, err
+	}
+	if limit := maxHeaderDuration.Microseconds(); n > limit || n < -limit {
+		return 0, errors.Errorf("%d microseconds are more than %s", n, maxHeaderDuration)
+	}
+	return time.Duration(n) * time.Microsecond, nil
+}
--- a/request/executor/report.go
+++ b/request/executor/report.go
@@ -13,8 +13,13 @@
 	"github.com/hornbeamrack/hornbeamrack/request/translator"
 )
 
-// loadFieldCount is the number of fields of a load header.
-const loadFieldCount = 4
+const (
+	// loadFieldCount is the number of fields of a load header.
+	loadFieldCount = 4
+	// maxReportedDuration is the longest duration of a valid load report. It exceeds the
+	// longest timeout of a route.
+	maxReportedDuration = 7 * 24 * time.Hour
+)
 
 // WriteReport writes an owner node's report into the headers of its response.
 func WriteReport(h *fasthttp.ResponseHeader, r translator.Report) {
@@ -60,13 +65,15 @@
 	if len(f) != loadFieldCount {
 		return translator.LoadReport{}
 	}
-	var n [loadFieldCount]int64
-	for i := range f {
-		var err error
-		if n[i], err = strconv.ParseInt(f[i], 10, 64); err != nil {
+	count, err := strconv.Atoi(f[0])
+	if err != nil || count < 0 {
+		return translator.LoadReport{}
+	}
+	l := translator.LoadReport{Valid: true, RequestCount: count}
+	for i, d := range []*time.Duration{&l.ExpectedWait, &l.ProcessingTime, &l.LinkBacklog} {
+		if *d, err = parseMicroseconds(f[i+1]); err != nil || *d < 0 || *d > maxReportedDuration {
 			return translator.LoadReport{}
 		}
 	}
-	us := func(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
-	return translator.LoadReport{Valid: true, RequestCount: int(n[0]), ExpectedWait: us(n[1]), ProcessingTime: us(n[2]), LinkBacklog: us(n[3])}
+	return l
 }
