Applier: propose no command that no host can decode

CBOR texts are valid UTF-8 where they are read, but not checked where they are written. An edit of a section, or the cancellation of a move, whose name in the path isn't UTF-8 became an entry of the log that each host fails to decode, and counts as a violation of an invariant, now and whenever it replays the log; the proposer got an empty result, status 200.

Encode now decodes what it has encoded and returns an error of KindCorrupt, so that nothing is proposed. It is called for proposals only; the digest of an edit, which is part of applying it, is made as before.

Without the change TestUndecodableCommandIsProposed: applier_test.go:200: not true: err != nil. With it: green, also with -race.

--- a/version/applier/applier_test.go
+++ b/version/applier/applier_test.go
@@ -186,6 +186,24 @@
 	is.Equal(len(h.applier.State().Endpoints), 0)
 }
 
+// TestUndecodableCommandIsProposed guards against a command in the log that every host
+// fails to decode, at each start again, and whose sender takes it for accepted.
+func TestUndecodableCommandIsProposed(t *testing.T) {
+	for _, c := range []applier.Command{
+		applier.EditSection{EditID: "e", Section: "\xff", At: at}, applier.EditSection{EditID: "\xff", Section: "s", At: at}, applier.EditSection{EditID: "e", Team: "a\xc3", At: at},
+		applier.BeginMove{EditID: "e", Service: "\xff", At: at}, applier.BeginMove{EditID: "e", Service: "s", To: "v\xff", At: at},
+		applier.CancelMove{EditID: "e", Service: "\xff", At: at}, applier.ReportCrash{Service: "\xff", At: at}, applier.StepMove{MoveID: "\xff"},
+		applier.ExpireNodes{Nodes: []applier.NodeID{{Node: "\xff"}}, At: at}, applier.ReplaceDocument{Sections: []applier.DocumentSection{{Name: "\xff"}}},
+	} {
+		is := is.New(t)
+		_, err := applier.Encode(c)
+		is.True(err != nil)
+	}
+	is := is.New(t)
+	_, err := applier.Encode(applier.EditSection{EditID: "e", Section: "s", Body: []byte("\xff"), At: at})
+	is.NoErr(err) // a body is bytes
+}
+
 // FuzzDecode guards against a panic in Decode on corrupt log entries.
 func FuzzDecode(f *testing.F) {
 	for _, c := range []applier.Command{edit("e", "s", "t", 0, designs), announce("n", 1, "t:v1"), applier.StepMove{}} {
--- a/version/applier/command.go
+++ b/version/applier/command.go
@@ -128,10 +128,26 @@
 	Replace  *ReplaceDocument `cbor:"8,keyasint,omitempty"`
 }
 
-// Encode returns a command as it is stored in the log. The lists of an Announce are
-// encoded without the endpoints that no node can have announced, so that an odd one
-// affects neither the others nor the hosts that apply the command.
+// Encode returns a command as it is stored in the log. It returns an error of KindCorrupt
+// for a command that Decode rejects, since no host could apply it. The lists of an
+// Announce are encoded without the endpoints that no node can have announced, so that an
+// odd one affects neither the others nor the hosts that apply the command.
 func Encode(c Command) ([]byte, error) {
+	if a, ok := c.(Announce); ok {
+		c = a.withoutInvalid()
+	}
+	b, err := marshal(c)
+	if err == nil {
+		_, err = Decode(b)
+	}
+	if err != nil {
+		return nil, &Error{"encode", KindCorrupt, err}
+	}
+	return b, nil
+}
+
+// marshal returns the encoding of a command without a check of its content.
+func marshal(c Command) ([]byte, error) {
 	var r commandRecord
 	switch c := c.(type) {
 	case EditSection:
@@ -143,7 +159,6 @@
 	case StepMove:
 		r.Step = &c
 	case Announce:
-		c = c.withoutInvalid()
 		r.Announce = &c
 	case ExpireNodes:
 		r.Expire = &c
@@ -152,11 +167,7 @@
 	case ReplaceDocument:
 		r.Replace = &c
 	}
-	b, err := encoder.Marshal(r)
-	if err != nil {
-		return nil, &Error{"encode", KindCorrupt, err}
-	}
-	return b, nil
+	return encoder.Marshal(r)
 }
 
 // Decode returns the command of a log entry, or an error of KindCorrupt.
@@ -203,7 +214,7 @@
 		e.At = time.Time{}
 		c = e
 	}
-	b, err := Encode(c)
+	b, err := marshal(c)
 	if err != nil {
 		return 0
 	}
