--- a/version/applier/applier_test.go
+++ b/version/applier/applier_test.go
@@ -137,7 +137,7 @@
 	for _, target := range targets {
 		name, version, _ := strings.Cut(target, ":")
 		a.Endpoints = append(a.Endpoints, applier.Endpoint{EndpointKey: applier.EndpointKey{Node: node, Target: name},
-			Incarnation: incarnation, Service: "designs", Version: version})
+			Incarnation: incarnation, Address: "10.0.0.1:7101", DataCentre: "dc-1", Service: "designs", Version: version})
 	}
 	return applier.Announce{Announcements: []applier.Announcement{a}, At: at}
 }
@@ -186,6 +186,24 @@
 	is.Equal(len(h.applier.State().Endpoints), 0)
 }
 
+// TestUndecodableCommandIsProposed guards against a command in the log that every host
+// fails to decode, at each start again, and whose sender takes it for accepted.
+func TestUndecodableCommandIsProposed(t *testing.T) {
+	for _, c := range []applier.Command{
+		applier.EditSection{EditID: "e", Section: "\xff", At: at}, applier.EditSection{EditID: "\xff", Section: "s", At: at}, applier.EditSection{EditID: "e", Team: "a\xc3", At: at},
+		applier.BeginMove{EditID: "e", Service: "\xff", At: at}, applier.BeginMove{EditID: "e", Service: "s", To: "v\xff", At: at},
+		applier.CancelMove{EditID: "e", Service: "\xff", At: at}, applier.ReportCrash{Service: "\xff", At: at}, applier.StepMove{MoveID: "\xff"},
+		applier.ExpireNodes{Nodes: []applier.NodeID{{Node: "\xff"}}, At: at}, applier.ReplaceDocument{Sections: []applier.DocumentSection{{Name: "\xff"}}},
+	} {
+		is := is.New(t)
+		_, err := applier.Encode(c)
+		is.True(err != nil)
+	}
+	is := is.New(t)
+	_, err := applier.Encode(applier.EditSection{EditID: "e", Section: "s", Body: []byte("\xff"), At: at})
+	is.NoErr(err) // a body is bytes
+}
+
 // FuzzDecode guards against a panic in Decode on corrupt log entries.
 func FuzzDecode(f *testing.F) {
 	for _, c := range []applier.Command{edit("e", "s", "t", 0, designs), announce("n", 1, "t:v1"), applier.StepMove{}} {
