Write only the guarded field of the identity when a control host joins

join replaced the whole identity under identityMu, while identify, called by other control hosts at the same time, reads its ID without the lock, as all others do: the ID never changes after Open. The write put the same ID back, so no wrong value was seen; the race detector reports it.

--- a/process/controller/bootstrap.go
+++ b/process/controller/bootstrap.go
@@ -76,7 +76,7 @@
 				return err
 			}
 			c.identityMu.Lock()
-			c.identity = next
+			c.identity.InitialMembership = initial
 			c.identityMu.Unlock()
 			c.Log.Info("control host joined its groups", "id", next.ID, "voter", initial.IsVoter(next.ID))
 			return nil
