Reject documents that are too large to be sent to nodes

Operators would have seen: a document whose packed sections exceed the 4 MB of a frame to a node is accepted, no node can be sent the whole state any more, and nodes that start, or whose update holds many sections, follow neither it nor any later document.

Cause: the operators' side takes bodies of 64 MB, the nodes' connections frames of 4 MB, and nothing compared the two.

Evidence: TestDocumentTooLargeForNodes, before: 5 MB of routes that do not compress are accepted, "not true: len(packed) < messenger.MaxNodeFrameBytes". What a real node does then was not run.

Change: documentSections packs sections of more than 3 MB, as an update does, and refuses them when the result exceeds three quarters of a frame; the rest is left for endpoints. Result: the package is green.

--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -68,6 +68,7 @@
 	KindNoLeader  Kind = "noLeader"  // KindNoLeader means that no leader was reached and nothing changed.
 	KindUncertain Kind = "uncertain" // KindUncertain means that the command may or may not have been accepted.
 	KindEncoding  Kind = "encoding"
+	KindTooLarge  Kind = "tooLarge" // KindTooLarge means that a document cannot be sent to nodes.
 	KindJoin      Kind = "join"
 )
 
--- a/process/controller/document.go
+++ b/process/controller/document.go
@@ -7,11 +7,20 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/hornbeamrack/hornbeamrack/connection/messenger"
 	"github.com/hornbeamrack/hornbeamrack/version/applier"
+	"github.com/hornbeamrack/hornbeamrack/version/differ"
 	"github.com/hornbeamrack/hornbeamrack/version/parser"
 	"github.com/hornbeamrack/hornbeamrack/version/validator"
 )
 
+const (
+	// maxPackedBytes bounds the packed sections in force, and maxUnpackedBytes
+	// the sections before they are packed. An update of a node holds the endpoints too.
+	maxPackedBytes   = messenger.MaxNodeFrameBytes * 3 / 4
+	maxUnpackedBytes = differ.MaxUpdateBytes * 3 / 4
+)
+
 // DocumentEdit is a request to replace the whole document.
 type DocumentEdit struct {
 	Number  uint64         // Number is the version number that the operators chose.
@@ -88,7 +97,29 @@
 	if _, err := validator.MergeParsed(sources, contents); err != nil {
 		return nil, err
 	}
-	return sections, nil
+	return sections, checkPackedSize(sources)
+}
+
+// checkPackedSize returns an Error of KindTooLarge when the sections do not fit into one
+// update of a node.
+func checkPackedSize(sources []validator.Source) error {
+	var u differ.Update
+	total := 0
+	for _, s := range sources {
+		total += len(s.Body)
+		u.Sections = append(u.Sections, differ.Section{Name: s.Name, Body: s.Body})
+	}
+	if total <= maxPackedBytes {
+		return nil // Packing makes them hardly larger.
+	}
+	packed, err := differ.Pack(u)
+	if err != nil {
+		return &Error{"document", KindEncoding, err}
+	}
+	if len(packed) > maxPackedBytes || total > maxUnpackedBytes {
+		return &Error{"document", KindTooLarge, errors.Errorf("the sections have %d bytes, %d packed, more than a node can receive; use fewer or shorter routes", total, len(packed))}
+	}
+	return nil
 }
 
 // BeginMove begins a move. It is idempotent: a request with the same service,
--- a/process/controller/document_test.go
+++ b/process/controller/document_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/hornbeamrack/hornbeamrack/common/decoder"
+	"github.com/hornbeamrack/hornbeamrack/connection/messenger"
 	"github.com/hornbeamrack/hornbeamrack/version/applier"
 	"github.com/hornbeamrack/hornbeamrack/version/compiler"
 	"github.com/hornbeamrack/hornbeamrack/version/differ"
@@ -63,6 +65,35 @@
 	is.True(err != nil) // a route refers to a service that does not exist
 }
 
+// TestDocumentTooLargeForNodes guards against an accepted document that no frame to a node
+// can hold, so that no node gets it or any later one.
+func TestDocumentTooLargeForNodes(t *testing.T) {
+	is := is.New(t)
+	r := rand.NewChaCha8([32]byte{1})
+	large := func(bytes int) parser.Content {
+		c := document(300, 0)
+		for i := range c.Routes {
+			path := make([]byte, bytes/len(c.Routes)/2)
+			_, _ = r.Read(path)
+			c.Routes[i].Path = fmt.Sprintf("/%x/", path) // random digits, which hardly compress
+		}
+		return c
+	}
+	for _, bytes := range []int{1 << 20, 5 << 20, 20 << 20} {
+		sections, err := documentSections(applier.State{}, large(bytes))
+		t.Log(bytes, err)
+		if err != nil {
+			is.True(bytes > 1<<20)
+			continue
+		}
+		s, result := applier.State{}.Next(1, applier.ReplaceDocument{Number: 1, Sections: sections})
+		is.Equal(result.Outcome, applier.OutcomeAccepted)
+		packed, err := differ.Pack(differ.NewUpdate(s, differ.SnapshotOf(s).Position(), differ.Have{}))
+		is.NoErr(err)
+		is.True(len(packed) < messenger.MaxNodeFrameBytes)
+	}
+}
+
 // BenchmarkDocument measures the processor time for one changed route, at the
 // control host that receives the edit and at a node.
 func BenchmarkDocument(b *testing.B) {
