Reject requests of operators whose body continues after its JSON value

Operators saw: of a body with two JSON values only the first was carried out, and bytes after a value were ignored, with status 200.

Cause: json.Decoder reads one value and leaves the rest, unlike json.Unmarshal, which reads the documents of the platform.

Evidence, on the code before: TestPartlyReadBodiesAreTaken: "200 != 400" for {"editId":"e1"}{"editId":"e2"}.

--- a/process/controller/operators.go
+++ b/process/controller/operators.go
@@ -6,6 +6,7 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"encoding/json"
+	"io"
 	"strconv"
 	"strings"
 	"time"
@@ -165,13 +166,17 @@
 	return team
 }
 
-// readBody decodes the JSON body of a request; unknown fields are an error.
+// readBody decodes the JSON body of a request; unknown fields, and anything after the
+// first value, are an error.
 func readBody(ctx fiber.Ctx, v any) error {
 	d := json.NewDecoder(strings.NewReader(string(ctx.Body())))
 	d.DisallowUnknownFields()
 	if err := d.Decode(v); err != nil {
 		return fiber.NewError(fiber.StatusBadRequest, "decode the request body: "+err.Error())
 	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return fiber.NewError(fiber.StatusBadRequest, "the request body continues after its JSON value; send one value")
+	}
 	return nil
 }
 
