Read no response whose header readers understand differently

Callers got a 200 for a target's 'HTTP/1.1 000', and for a 'HTTP/1.1 099' with any 200 behind it, at their own node and through another one; a 101 that nobody had requested was passed on as a response. A reader that differs takes 'Content-Length : 2' for no length, and a response behind blank lines for none. Cause: the header was left to fasthttp, which gives status 0 as 200, takes every status below 200 for an interim response, and corrects names and blank lines silently. Change: a header is parsed only when its blank line has arrived and its lines are well-formed: HTTP/1.0 or 1.1, a status of 100 to 999 other than 101, CRLF at each line end, no white space in names. Any other one fails the request as broken, outcome unknown.

--- a/request/forwarder/conn.go
+++ b/request/forwarder/conn.go
@@ -26,8 +26,6 @@
 	minIdleTimeout = 500 * time.Millisecond
 )
 
-var http11 = []byte("HTTP/1.1")
-
 // call is one request on a connection, with its response.
 type call struct {
 	req        *fasthttp.Request
@@ -214,11 +212,11 @@
 		if interims > maxInterimResponses {
 			return false, errors.Errorf("more than %d interim responses", maxInterimResponses)
 		}
-		if err := h.Read(pc.br); err != nil {
+		if err := readResponseHeader(pc.br, h); err != nil {
 			return false, errors.Wrap(err, "read the response header")
 		}
 		c.acknowledged.Store(true)
-		if h.StatusCode() >= fasthttp.StatusOK || h.StatusCode() == fasthttp.StatusSwitchingProtocols {
+		if h.StatusCode() >= fasthttp.StatusOK {
 			break
 		}
 	}
