--- a/request/forwarder/conn.go
+++ b/request/forwarder/conn.go
@@ -238,6 +238,7 @@
 	framed := h.ContentLength() != -2
 	pc.readIdleTimeout(h)
 	reusable := framed && !h.ConnectionClose() && h.IsHTTP11() && len(pc.rejections) < maxRejections
+	h.SetProtocol(http11) // The response is passed on with this node's framing.
 	if c.req.Header.IsHead() || h.StatusCode() == fasthttp.StatusNoContent || h.StatusCode() == fasthttp.StatusNotModified {
 		c.resp.SkipBody = true
 		c.signalStreamStart()
@@ -302,10 +303,10 @@
 func (pc *persistConn) readFinalHeader(c *callState) error {
 	h := &c.resp.Header
 	for range maxInterimResponses + 1 {
-		if err := h.Read(pc.br); err != nil {
+		if err := readResponseHeader(pc.br, h); err != nil {
 			return errors.Wrap(err, "read the response header")
 		}
-		if h.StatusCode() >= fasthttp.StatusOK || h.StatusCode() == fasthttp.StatusSwitchingProtocols {
+		if h.StatusCode() >= fasthttp.StatusOK {
 			return nil
 		}
 		c.acknowledged.Store(true)
