--- a/request/forwarder/conn.go
+++ b/request/forwarder/conn.go
@@ -44,14 +44,18 @@
 	short        bool          // short means that writing the request does not block.
 	sent         bool          // sent means that bytes of the request may have been sent; persistConn.mu guards it.
 	sendEnded    chan struct{} // sendEnded is closed when nothing more of the request is read or sent.
-	bodyPassed   chan struct{} // bodyPassed is closed when a streamed body is passed on or given up.
+	bodyPassed   chan struct{} // bodyPassed is closed when a streamed body is passed on or given up; nil without streaming.
 	acknowledged atomic.Bool   // acknowledged means that the peer has sent an interim or final response.
 	done         chan error    // done receives one value: nil, or the error that ended the response.
 }
 
 // newCallState returns the state of a call that has no connection yet.
 func newCallState(c call) *callState {
-	return &callState{call: c, short: len(c.req.Body()) <= smallBodyBytes, sendEnded: make(chan struct{}), bodyPassed: make(chan struct{}), done: make(chan error, 1)}
+	s := &callState{call: c, short: len(c.req.Body()) <= smallBodyBytes, sendEnded: make(chan struct{}), done: make(chan error, 1)}
+	if c.stream {
+		s.bodyPassed = make(chan struct{})
+	}
+	return s
 }
 
 // persistConn is one connection with the goroutine that reads from it.
