Pass a response on with the version of its own framing

Callers of a streamed route whose target answers in HTTP/1.0 without a length got the target's version before a body in chunks. HTTP/1.0 has no chunks: a caller takes the chunk sizes for the body, and its end for that of the connection, so a response that the target reset midway looked complete. Through another node the body came in chunks twice, and the connection did not end. Cause: the reader kept the target's version in the header that is passed on, while the framing is this node's. Evidence: TestCutResponseNeverLooksComplete without the fix, on both streamed roads: 'got {complete:true status:200 body:3 hel}, want {complete:false status:200 body:hel}', 14 such lines. The buffered roads and the other ways to frame a body were green without it. Change: the version of a response is set to HTTP/1.1 once it has decided on reuse. Result: the test passes with -race: 794 cuts on each of six roads, 36 of them complete, all with the target's status and body; go test -race ./request/forwarder passes.

--- a/request/forwarder/conn.go
+++ b/request/forwarder/conn.go
@@ -26,6 +26,8 @@
 	minIdleTimeout = 500 * time.Millisecond
 )
 
+var http11 = []byte("HTTP/1.1")
+
 // call is one request with its response.
 type call struct {
 	req      *fasthttp.Request
@@ -238,6 +240,7 @@
 	framed := h.ContentLength() != -2
 	pc.readIdleTimeout(h)
 	reusable := framed && !h.ConnectionClose() && h.IsHTTP11() && len(pc.rejections) < maxRejections
+	h.SetProtocol(http11) // The response is passed on with this node's framing.
 	if c.req.Header.IsHead() || h.StatusCode() == fasthttp.StatusNoContent || h.StatusCode() == fasthttp.StatusNotModified {
 		c.resp.SkipBody = true
 		c.signalStreamStart()
