Read no response whose header readers understand differently

Callers got a 200 for a target's 'HTTP/1.1 000', and for a 'HTTP/1.1 099' with any 200 behind it, at their own node and through another one; a 101 that nobody had requested was passed on as a response. A reader that differs takes 'Content-Length : 2' for no length, and a response behind blank lines for none. Cause: the header was left to fasthttp, which gives status 0 as 200, takes every status below 200 for an interim response, and corrects names and blank lines silently. Change: a header is parsed only when its blank line has arrived and its lines are well-formed: HTTP/1.0 or 1.1, a status of 100 to 999 other than 101, CRLF at each line end, no white space in names. Any other one fails the request as broken, outcome unknown.

--- a/request/forwarder/conn.go
+++ b/request/forwarder/conn.go
@@ -26,8 +26,6 @@
 	minIdleTimeout = 500 * time.Millisecond
 )
 
-var http11 = []byte("HTTP/1.1")
-
 // call is one request with its response.
 type call struct {
 	req      *fasthttp.Request
@@ -305,10 +303,10 @@
 func (pc *persistConn) readFinalHeader(c *callState) error {
 	h := &c.resp.Header
 	for range maxInterimResponses + 1 {
-		if err := h.Read(pc.br); err != nil {
+		if err := readResponseHeader(pc.br, h); err != nil {
 			return errors.Wrap(err, "read the response header")
 		}
-		if h.StatusCode() >= fasthttp.StatusOK || h.StatusCode() == fasthttp.StatusSwitchingProtocols {
+		if h.StatusCode() >= fasthttp.StatusOK {
 			return nil
 		}
 		c.acknowledged.Store(true)
--- /dev/null
+++ b/request/forwarder/header.go
@@ -0,0 +1,99 @@
+package forwarder
+
+import (
+	"bufio"
+	"bytes"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+var (
+	headerEnd = []byte("\r\n\r\n")
+	lineEnd   = []byte("\r\n")
+	http11    = []byte("HTTP/1.1")
+	http10    = []byte("HTTP/1.0")
+)
+
+// readResponseHeader reads the header of one response, interim or final. It takes nothing
+// for a header before its blank line has arrived, and rejects one that readers may
+// understand differently: fasthttp reads status 000 as 200 and skips white space in names.
+func readResponseHeader(br *bufio.Reader, h *fasthttp.ResponseHeader) error {
+	raw, err := peekHeader(br)
+	if err != nil {
+		return err
+	}
+	if err := checkHeader(raw); err != nil {
+		return err
+	}
+	return h.Read(br)
+}
+
+// peekHeader returns the bytes up to the first blank line, without consuming them. It
+// waits until they have arrived.
+func peekHeader(br *bufio.Reader) ([]byte, error) {
+	for searched := 0; ; {
+		b, err := br.Peek(br.Buffered())
+		if err != nil {
+			return nil, err
+		}
+		if i := bytes.Index(b[searched:], headerEnd); i >= 0 {
+			return b[:searched+i+len(lineEnd)], nil
+		}
+		searched = max(0, len(b)-len(headerEnd)+1)
+		if _, err := br.Peek(len(b) + 1); err != nil {
+			return nil, errors.Wrapf(err, "the header is not complete after %d bytes", len(b))
+		}
+	}
+}
+
+// checkHeader returns an error if the status line or a header line is not well-formed.
+// Each line ends with a carriage return and a line feed.
+func checkHeader(raw []byte) error {
+	status, rest, _ := bytes.Cut(raw, lineEnd)
+	if err := checkStatusLine(status); err != nil {
+		return err
+	}
+	for len(rest) > 0 {
+		var line []byte
+		line, rest, _ = bytes.Cut(rest, lineEnd)
+		if err := checkHeaderLine(line); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkStatusLine returns an error unless the line has a supported version and a status
+// that a client may receive to a request without Upgrade.
+func checkStatusLine(line []byte) error {
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	code, _, _ := bytes.Cut(rest, []byte(" "))
+	switch {
+	case !bytes.Equal(version, http11) && !bytes.Equal(version, http10):
+		return errors.Errorf("the status line %q has no supported version", line)
+	case len(code) != 3 || code[0] < '1' || code[0] > '9':
+		return errors.Errorf("the status line %q has no valid status", line)
+	case string(code) == "101":
+		return errors.New("the peer switches protocols without a request to do so")
+	case bytes.ContainsAny(line, "\r\n"):
+		return errors.Errorf("the status line %q has a line end within it", line)
+	}
+	return nil
+}
+
+// checkHeaderLine returns an error if a line has a line end within it, or white space in
+// its name. A line that continues the one before it has no name.
+func checkHeaderLine(line []byte) error {
+	if bytes.ContainsAny(line, "\r\n") {
+		return errors.Errorf("the header line %q has a line end within it", line)
+	}
+	if line[0] == ' ' || line[0] == '\t' {
+		return nil
+	}
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	if bytes.ContainsAny(name, " \t") {
+		return errors.Errorf("the header line %q has white space in its name", line)
+	}
+	return nil
+}
--- a/request/receiver/framing_test.go
+++ b/request/receiver/framing_test.go
@@ -127,13 +127,16 @@
 }
 
 // framedResponses are responses of targets, one for each way to frame a body, and the
-// odd ones whose framing readers may understand differently.
+// odd ones whose framing or status readers may understand differently.
 var framedResponses = []struct{ name, text string }{
 	{"length", "HTTP/1.1 200 OK\r\nContent-Length: 12\r\nX-A: b\r\n\r\nhello, world"},
 	{"chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n7\r\n, world\r\n0\r\n\r\n"},
 	{"until the connection ends", "HTTP/1.1 200 OK\r\nX-A: b\r\n\r\nhello, world"},
 	{"interim response", "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"},
 	{"HTTP/1.0", "HTTP/1.0 200 OK\r\n\r\nhello, world"},
+	{"status 000", "HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\nok"},
+	{"status 099", "HTTP/1.1 099 Odd\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"},
+	{"status 101", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\nHTTP/1.1 200 OK\r\n\r\n"},
 	{"chunks named hop by hop", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: Transfer-Encoding\r\n\r\n5\r\nhello\r\n0\r\n\r\n"},
 	{"204", "HTTP/1.1 204 No Content\r\n\r\n"},
 }
