--- a/request/forwarder/framing_test.go
+++ b/request/forwarder/framing_test.go
@@ -63,6 +63,7 @@
 	c.conn = pc
 	pc.begin(c)
 	c.sent, pc.writing = true, false
+	close(c.sendEnded)
 	go pc.readLoop()
 	if err := <-c.done; err != nil {
 		return received{}
