Take a dial that ended long after its timeout for a stall of this process

A round whose calls end late because the process got no processor time is no sign of an outage; calls that time out were seen so, dials that time out were not. A node would then have served by its last table, in place of a 503, until its next round.

The rounds' tests are green as before.

--- a/process/subscriber/round.go
+++ b/process/subscriber/round.go
@@ -179,7 +179,7 @@
 		return
 	}
 	r.rejected = r.rejected || step == stepDecode || step == stepApply
-	if step == stepReply && r.s.Now().After(reply.timeoutAt.Add(stallTolerance)) {
+	if reply.endedLate(step, r.s.Now()) {
 		r.stalled, step = true, stepStall
 	}
 	if step != stepStall {
@@ -188,6 +188,18 @@
 	r.addFailure(reply.syncCall, step, err)
 }
 
+// endedLate reports whether the call failed so long after its timeout that this process
+// must have stalled.
+func (c syncCall) endedLate(step syncStep, now time.Time) bool {
+	switch step {
+	case stepDial:
+		return now.After(c.startedAt.Add(hostDialTimeout + stallTolerance))
+	case stepReply:
+		return now.After(c.timeoutAt.Add(stallTolerance))
+	}
+	return false
+}
+
 // addFailure counts a failed call and stores its description.
 func (r *round) addFailure(c syncCall, step syncStep, err error) {
 	failuresTotal(step).Inc()
