--- a/stand/starter/applied_integration_test.go
+++ b/stand/starter/applied_integration_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -177,26 +178,31 @@
 		name             string
 		controlHosts     int
 		heldHosts        int  // heldHosts is the number of control hosts that are held, those that node-1 prefers.
+		holdLeader       bool // holdLeader also holds the leader.
 		holdNode         bool // holdNode also holds node-1.
 		stopped, running time.Duration
 	}{
-		{"nothing", 3, 0, false, 0, time.Second},
-		{"a node stopped for 4 s", 3, 0, true, 4 * time.Second, time.Second},
-		{"a node with a tenth of the time", 3, 0, true, 900 * time.Millisecond, 100 * time.Millisecond},
-		{"a control host with a tenth of the time", 3, 1, false, 900 * time.Millisecond, 100 * time.Millisecond},
-		{"two of five control hosts stopped", 5, 2, false, 5 * time.Second, 2 * time.Second},
-		{"two of five control hosts and a node with a tenth of the time", 5, 2, true, 900 * time.Millisecond, 100 * time.Millisecond},
+		{"nothing", 3, 0, false, false, 0, time.Second},
+		{"a node stopped for 4 s", 3, 0, false, true, 4 * time.Second, time.Second},
+		{"a node with a tenth of the time", 3, 0, false, true, 900 * time.Millisecond, 100 * time.Millisecond},
+		{"a control host with a tenth of the time", 3, 1, false, false, 900 * time.Millisecond, 100 * time.Millisecond},
+		{"the leader stopped", 3, 0, true, false, 3 * time.Second, 2 * time.Second},
+		{"two of five control hosts stopped", 5, 2, false, false, 5 * time.Second, 2 * time.Second},
+		{"two of five control hosts and a node with a tenth of the time", 5, 2, false, true, 900 * time.Millisecond, 100 * time.Millisecond},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
 			m := newMeshOf(t, row.controlHosts, 3)
-			hosts := preferredHosts(m, m.Nodes[0])
-			held := hosts[:row.heldHosts]
-			c := &applyCheck{mesh: m, operator: Mesh{ProgramFolder: m.ProgramFolder, ControlHosts: hosts[row.heldHosts:]}}
+			running := preferredHosts(m, m.Nodes[0])
 			var list []*Process
-			for _, h := range held {
-				list = append(list, h.Process)
+			for range row.heldHosts {
+				list, running = append(list, running[0].Process), running[1:]
 			}
+			if row.holdLeader {
+				i := slices.IndexFunc(running, func(c *ControlHost) bool { return strings.Contains(c.Log(), "leads=true") })
+				list, running = append(list, running[i].Process), slices.Delete(running, i, i+1)
+			}
+			c := &applyCheck{mesh: m, operator: Mesh{ProgramFolder: m.ProgramFolder, ControlHosts: running}}
 			if row.holdNode {
 				list = append(list, m.Nodes[0].Process)
 			}
