Configurer: reject numbers that overflow or aren't numbers

A settings file with linkMbps or a retry ratio of .nan or .inf, or with a memory limit that overflows when it becomes bytes, was accepted; the process then ran with a link or a budget whose every comparison is false, or with a negative memory limit. A claim lifetime of 292 years was accepted too: claims expire in the order in which they were granted, so one that never expires keeps all later ones.

Each number has an upper bound now, far above what runs anywhere, and the error names the key, its unit and its place. What was accepted within the bounds still is.

TestInvalidSettingsHavePlaceAndHint without the change: red in 10 rows, for example link_of_no_number, queue_too_large, memory_that_overflows, lifetime_of_years: not true: errors.As(err, &at) (accepted). With it: green, also with -race. FuzzParse by hand, 20 s: nothing found.

--- a/process/configurer/configurer.go
+++ b/process/configurer/configurer.go
@@ -58,6 +58,15 @@
 	// maxToleratedLosses bounds Control.ToleratedLosses: every edit waits for the disks
 	// of that many control hosts and one more.
 	maxToleratedLosses = 10
+	// The upper bounds of numbers that have no natural one. A number above its bound is a
+	// mistake, and some overflow where they are used.
+	maxMemoryMB          = 1 << 24
+	maxHeapGrowthPercent = 1e6
+	maxQueueLimit        = 1e6
+	maxLinkMbps          = 1e12
+	maxRetryRatio        = 1e12
+	maxRetrySlack        = 1e12
+	maxClaimLifetime     = 366 * 24 * time.Hour
 	// softLimitRatio is the soft memory limit as a part of the hard limit.
 	softLimitRatio = 0.6
 )
@@ -261,6 +270,16 @@
 	}
 }
 
+// checkNumber checks that the number at a YAML path is from 0 to limit. unit names what
+// it counts, for the hint.
+func (c *checker) checkNumber(path, unit string, n, limit float64) {
+	if n >= 0 && n <= limit {
+		return
+	}
+	key := path[strings.LastIndexByte(path, '.')+1:]
+	c.fail(path, fmt.Sprintf("use a number of %s from 0 to %g, or leave the key out", unit, limit), "%s is %g", key, n)
+}
+
 func (c *checker) checkProcess(s *Settings) {
 	if !parser.ValidName(s.Name) {
 		c.fail("$.name", "use lower-case letters, digits and hyphens, a letter first", "name %q is not valid", s.Name)
@@ -282,15 +301,10 @@
 	if !slices.Contains([]string{"", "debug", "info", "warn", "error"}, s.LogLevel) {
 		c.fail("$.logLevel", "use debug, info, warn or error", "unknown logLevel %q", s.LogLevel)
 	}
-	if s.Traces.SamplingRatio < 0 || s.Traces.SamplingRatio > 1 {
-		c.fail("$.traces.ratio", "use a number from 0 to 1", "ratio is %g", s.Traces.SamplingRatio)
-	}
-	if s.MemoryLimitMB < 0 {
-		c.fail("$.memoryLimitMB", "use a number of megabytes", "memoryLimitMB is %d", s.MemoryLimitMB)
-	}
-	if s.HeapGrowthPercent < 0 {
-		c.fail("$.heapGrowth", "use a number of percent, or leave the key out", "heapGrowth is %d", s.HeapGrowthPercent)
-	}
+	c.checkNumber("$.traces.ratio", "requests traced per request", s.Traces.SamplingRatio, 1)
+	c.checkNumber("$.memoryLimitMB", "megabytes", float64(s.MemoryLimitMB), maxMemoryMB)
+	c.checkNumber("$.hardLimitMB", "megabytes", float64(max(s.HardLimitMB, 0)), maxMemoryMB)
+	c.checkNumber("$.heapGrowth", "percent", float64(s.HeapGrowthPercent), maxHeapGrowthPercent)
 	if s.HeapGrowthPercent == 0 {
 		s.HeapGrowthPercent = DefaultHeapGrowthPercent
 	}
@@ -321,11 +335,10 @@
 	for i, a := range n.ControlAddresses {
 		c.checkAddress(fmt.Sprintf("$.node.control[%d]", i), a)
 	}
-	if n.QueueLimit < 0 {
-		c.fail("$.node.queue", "use a number of requests", "queue is %d", n.QueueLimit)
-	}
-	if n.LinkMbps < 0 {
-		c.fail("$.node.linkMbps", "use megabits a second, or leave it out", "linkMbps is %g", n.LinkMbps)
+	c.checkNumber("$.node.queue", "requests", float64(n.QueueLimit), maxQueueLimit)
+	c.checkNumber("$.node.linkMbps", "megabits a second", n.LinkMbps, maxLinkMbps)
+	if n.ClaimLifetime.AsDuration() > maxClaimLifetime {
+		c.fail("$.node.claimLifetime", fmt.Sprintf("use at most %s", maxClaimLifetime), "claimLifetime is %s", n.ClaimLifetime.AsDuration())
 	}
 	if n.QueueLimit == 0 {
 		n.QueueLimit = parser.DefaultQueue
@@ -345,9 +358,8 @@
 	for i, a := range s.Discovery.Seeds {
 		c.checkAddress(fmt.Sprintf("$.discovery.seeds[%d]", i), a)
 	}
-	if s.Retries.Ratio < 0 || s.Retries.Slack < 0 {
-		c.fail("$.retries", "use numbers of 0 and more", "ratio is %g, slack is %g", s.Retries.Ratio, s.Retries.Slack)
-	}
+	c.checkNumber("$.retries.ratio", "retries per request", s.Retries.Ratio, maxRetryRatio)
+	c.checkNumber("$.retries.slack", "retries", s.Retries.Slack, maxRetrySlack)
 }
 
 func (c *checker) checkEdge(s Settings) {
