Give each run of the platform's test mesh loopback addresses of its own

The log of that process: "listen tcp 127.0.9.2:9464: bind: address already in use", from 01:27:32 to 01:28:00 in five starts: a second copy of these tests ran on the same machine, and the port of the metrics is the same in all settings.

The addresses now follow from the process id of the test program.

--- a/stand/starter/platform_integration_test.go
+++ b/stand/starter/platform_integration_test.go
@@ -61,8 +61,12 @@
 	return ports
 }
 
-// processIP returns the loopback address of the process with index i.
-func processIP(i int) string { return fmt.Sprintf("127.0.9.%d", i+1) }
+// processIP returns the loopback address of the process with index i. The port of the
+// metrics is the same in all settings, so each test program has addresses of its own.
+func processIP(i int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 16+pid/250%200, pid%250, i+1)
+}
 
 // address returns the IP and port of process i; port is one of the indexes above.
 func (m *platformMesh) address(i, port int) string {
