Keep no connections of the document test for the tests after it

TestPlatformWholePath was red after TestDocumentsOutliveFailingHosts in the same test program, 2 of 2 times: "0 != 200 // a retry at another host is idempotent". Both tests used fasthttp's default client and the same addresses, so a POST went over a connection to a process that had been killed; fasthttp sends a POST once only. Alone TestPlatformWholePath was green 18 of 18 times.

The document test has a client of its own now: both tests green, 4 of 4 times.

--- a/stand/starter/document_integration_test.go
+++ b/stand/starter/document_integration_test.go
@@ -37,6 +37,7 @@
 // documentHistory is what operators saw of their documents.
 type documentHistory struct {
 	*platformMesh
+	client fasthttp.Client // client keeps no connection of another test, whose processes had the same addresses.
 
 	mu       sync.Mutex
 	accepted map[int]sentDocument // accepted holds the acknowledged documents by their base.
@@ -148,14 +149,20 @@
 
 // callControl sends one call to a control host and returns the status, 0 for none.
 func (h *documentHistory) callControl(i int, method, path, base, body string) (int, string) {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + h.address(i, controlPort) + "/hornbeamrack/config/" + path)
+	return h.call(method, "http://"+h.address(i, controlPort)+"/hornbeamrack/config/"+path, map[string]string{"X-Base-Version": base}, body)
+}
+
+// call sends one request and returns the status, 0 for none, and the body.
+func (h *documentHistory) call(method, url string, headers map[string]string, body string) (int, string) {
+	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
+	req.SetRequestURI(url)
 	req.Header.SetMethod(method)
-	req.Header.Set("X-Base-Version", base)
+	for name, value := range headers {
+		req.Header.Set(name, value)
+	}
+	req.UseHostHeader = headers["Host"] != ""
 	req.SetBodyString(body)
-	if err := fasthttp.DoTimeout(req, resp, operatorTimeout); err != nil {
+	if err := h.client.DoTimeout(req, resp, operatorTimeout); err != nil {
 		return 0, ""
 	}
 	return resp.StatusCode(), string(resp.Body())
@@ -250,7 +257,7 @@
 		h.faults = append(h.faults, fmt.Sprintf("the acknowledged document %d is not among the predecessors of the final one", d.number))
 	}
 	is.NoErr(WaitUntil(h.t.Context(), readyTimeout, "route of the final document at the node", func() bool {
-		status, _ := sendHTTP("GET", fmt.Sprintf("http://%s/a%d/x", h.address(documentNode, outboundPort), h.newest.number), map[string]string{"Host": "h.example", "X-Request-Id": "i", "X-Deadline-Ms": "500"}, "")
+		status, _ := h.call("GET", fmt.Sprintf("http://%s/a%d/x", h.address(documentNode, outboundPort), h.newest.number), map[string]string{"Host": "h.example", "X-Request-Id": "i", "X-Deadline-Ms": "500"}, "")
 		return status == 503 // The route is known, its service has no target.
 	}))
 }
