--- a/stand/starter/platform_integration_test.go
+++ b/stand/starter/platform_integration_test.go
@@ -61,11 +61,11 @@
 	return ports
 }
 
-// processIP returns the loopback address of the process with index i. The port of the
-// metrics is the same in all settings, so each test program has addresses of its own.
+// processIP returns the loopback address of the process with index i. It is in a network
+// of this run alone, since the admin port of the templates is the same in every run.
 func processIP(i int) string {
-	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 16+pid/250%200, pid%250, i+1)
+	run := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+run>>8&0x7f, run&0xff, i+1)
 }
 
 // address returns the IP and port of process i; port is one of the indexes above.
