--- a/process/configurer/configurer.go
+++ b/process/configurer/configurer.go
@@ -56,9 +56,9 @@
 
 	maxControlHosts = 7
 	maxPort         = 65535
-	// minConfirmationAge is longer than a node's call to a control host waits for a change,
-	// so that a node without a fault is always ready.
-	minConfirmationAge = 1500 * time.Millisecond
+	// minConfirmationAge leaves time for a call to a second control host, so that a node is
+	// ready while one of them does not reply.
+	minConfirmationAge = 800 * time.Millisecond
 	minElectionTimeout = 200 * time.Millisecond
 	maxElectionTimeout = 10 * time.Second
 	// maxToleratedLosses bounds Control.ToleratedLosses: every edit waits for the disks
--- a/process/subscriber/round.go
+++ b/process/subscriber/round.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	// syncWait is how long a control host may hold a call open when it has no update.
+	// syncWait is how long a control host may hold a call open when it has no update. It is
+	// shorter when MaxConfirmationAge leaves less than twice this time.
 	syncWait = 700 * time.Millisecond
 	// hedgeDelay is how much longer than that a reply may take before a second host is
 	// called too, and hedgeInterval the time until a further one is.
--- a/process/subscriber/subscriber.go
+++ b/process/subscriber/subscriber.go
@@ -210,7 +210,7 @@
 	if args.Have == (differ.Have{}) || !s.connected {
 		return args
 	}
-	args.Wait = syncWait
+	args.Wait = min(syncWait, s.MaxConfirmationAge/2)
 	if slices.ContainsFunc(s.snapshot.Traffics, func(t applier.Traffic) bool { return t.Move != nil && t.Move.Running() }) {
 		args.Wait = min(args.Wait, moveSyncWaitFor(s.Tables.Table()))
 	}
