Decode: bound the keys of a mapping before it is parsed

One section of 256 KB with 30000 keys, or as many empty entries, kept every control host busy for up to 14 s: each applies the edit, rejects it, and does so again when it replays the log; meanwhile none of them leads. The YAML library compares each key of a mapping with all others.

checkLimits, now in a file of its own, also counts the keys of each mapping and the empty entries of sequences in the tokens, and rejects more than 256. No type of this project has as many keys, and its lists have no valid empty entry, so what is rejected now was rejected before, with another text. Input with thousands of list entries is accepted as before (TestNestedInputIsAccepted).

Left: 43000 list entries whose only key is empty take 2.1 s.

--- a/common/decoder/decoder.go
+++ b/common/decoder/decoder.go
@@ -25,7 +25,6 @@
 	"github.com/agnivade/levenshtein"
 	"github.com/goccy/go-yaml"
 	"github.com/goccy/go-yaml/ast"
-	"github.com/goccy/go-yaml/lexer"
 	"github.com/goccy/go-yaml/parser"
 	"github.com/goccy/go-yaml/token"
 	"github.com/pkg/errors"
@@ -37,6 +36,9 @@
 	MaxBytes = 256 << 10
 	// MaxDepth is the maximum nesting of the input, in levels.
 	MaxDepth = 16
+	// MaxKeys is the maximum number of keys in one mapping, and of empty entries in all
+	// sequences.
+	MaxKeys = 256
 
 	// maxSuggestionDistance is the maximum Levenshtein distance of a suggested name.
 	maxSuggestionDistance = 3
@@ -124,25 +126,6 @@
 	return nil
 }
 
-// checkLimits returns an *Error of KindLimit if the input is longer than MaxBytes or
-// nested more deeply than MaxDepth. It runs before the parser, whose recursion and
-// memory grow with the nesting, and whose end no recover prevents.
-func checkLimits(file string, raw []byte) error {
-	if len(raw) > MaxBytes {
-		return &Error{Op: "decode", Kind: KindLimit, File: file, Line: 1, Column: 1,
-			Message: fmt.Sprintf("%d bytes, the limit is %d", len(raw), MaxBytes), Hint: "split it into several sections"}
-	}
-	line := firstTooDeepLine(raw)
-	if line == 0 {
-		line = firstTooDeepToken(lexer.Tokenize(string(raw)))
-	}
-	if line > 0 {
-		return &Error{Op: "decode", Kind: KindLimit, File: file, Line: line, Column: 1,
-			Message: fmt.Sprintf("more than %d levels of nesting", MaxDepth), Hint: "flatten the value"}
-	}
-	return nil
-}
-
 // ErrorAt returns an error with a formatted message at the position of a YAML path
 // such as "$.routes[0].service". If the key is missing, the position is that of its
 // nearest parent that exists. It is line 1, column 1 if there is none, or if raw cannot
@@ -197,51 +180,6 @@
 	return best
 }
 
-// firstTooDeepLine returns the first line at which the nesting of brackets and braces
-// exceeds MaxDepth, or 0 if it never does. It also counts those in texts and comments.
-func firstTooDeepLine(raw []byte) int {
-	depth, line := 0, 1
-	for _, c := range raw {
-		switch c {
-		case '\n':
-			line++
-		case '[', '{':
-			depth++
-		case ']', '}':
-			depth--
-		}
-		if depth > MaxDepth {
-			return line
-		}
-	}
-	return 0
-}
-
-// firstTooDeepToken returns the first line at which brackets and braces, or the entries
-// "- - -" and "? ? ?" that begin on one line, are nested more than MaxDepth levels, or 0
-// if there is none. Nesting by indentation needs no check, since each level makes its
-// lines longer.
-func firstTooDeepToken(tokens token.Tokens) int {
-	brackets, entries, line := 0, 0, 0
-	for _, t := range tokens {
-		if t.Position.Line != line {
-			line, entries = t.Position.Line, 0
-		}
-		switch t.Type {
-		case token.SequenceStartType, token.MappingStartType:
-			brackets++
-		case token.SequenceEndType, token.MappingEndType:
-			brackets = max(brackets-1, 0)
-		case token.SequenceEntryType, token.MappingKeyType:
-			entries++
-		}
-		if max(brackets, entries) > MaxDepth {
-			return line
-		}
-	}
-	return 0
-}
-
 // treeChecker visits the nodes of the parsed input and records an error for an
 // alias, an anchor, a tag or a node that is nested too deeply.
 type treeChecker struct {
--- a/common/decoder/decoder_test.go
+++ b/common/decoder/decoder_test.go
@@ -82,6 +82,36 @@
 	os.Exit(1)
 }
 
+// keys returns text with a number for each key, up to a length of about n bytes.
+func keys(format string, n int) string {
+	var b strings.Builder
+	for i := 0; b.Len() < n-32; i++ {
+		fmt.Fprintf(&b, format, i)
+	}
+	return b.String()
+}
+
+// TestManyKeysStallTheHost guards against mappings and empty entries that the YAML library
+// takes seconds to check: it compares each key with all others.
+func TestManyKeysStallTheHost(t *testing.T) {
+	const n = decoder.MaxBytes
+	for name, text := range map[string]string{
+		"keys": keys("a%d: 1\n", n), "empty keys": keys("a%d:\n", n), "keys between comments": keys("a%d: 1\n#\n", n), "indented keys": "name:\n" + keys("  a%d: 1\n", n),
+		"keys with a question mark": keys("? a%d\n", n), "keys in braces": "{" + keys("a%d: 1,", n) + "}", "keys without a value": "list: [{" + repeat("a,", n-32) + "}]",
+		"keys on lines that end in CR": keys("a%d: 1\r", n), "quoted keys": keys("\"a%d\": 1\n", n),
+		"empty entries": repeat("-\n", n), "empty entries of a list": "list:\n" + repeat(" -\n", n-32),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			err := decoder.Decode("s", []byte(text), &input{})
+			var e *decoder.Error
+			is.True(errors.As(err, &e))
+			is.Equal(e.Kind, decoder.KindLimit)
+			is.True(e.Line <= 2*decoder.MaxKeys+3)
+		})
+	}
+}
+
 // TestErrorOfLongLineIsShort guards against errors that hold a whole line of the input,
 // which takes seconds to format: control hosts store the errors of rejected sections.
 func TestErrorOfLongLineIsShort(t *testing.T) {
@@ -105,11 +135,21 @@
 		"list:\n" + strings.Repeat("  - 1\n", 1000),
 		"{list: [" + strings.Repeat("1, ", 1000) + "1]}",
 		"? name\n: x\n? list\n: [1]\n",
+		"list:\n" + strings.Repeat("  -\n  - 1\n", decoder.MaxKeys-1),
 		"name: x # ? ? ? ? ? ? ? ? ? ? ? ? ? ? ? ? ? ? ?\n",
 	} {
 		is := is.New(t)
 		is.NoErr(decoder.Decode("s", []byte(text), &input{}))
 	}
+	is := is.New(t)
+	var many struct {
+		List []input          `yaml:"list"`
+		Map  map[string]input `yaml:"map"`
+	}
+	is.NoErr(decoder.Decode("s", []byte("list:\n"+strings.Repeat("  - name: x\n    list: [1, 2, 3]\n", 5000)), &many))
+	is.NoErr(decoder.Decode("s", []byte("list:\n"+strings.Repeat("- {name: x, list: [1, 2, 3]}\n", 5000)), &many))
+	is.NoErr(decoder.Decode("s", []byte("list: ["+strings.Repeat("{name: x, list: [1, 2, 3]}, ", 5000)+"]"), &many))
+	is.NoErr(decoder.Decode("s", []byte("map:\n"+keys("  a%d: {name: x}\n", 3000)), &many))
 }
 
 // FuzzDecode checks that no input panics or ends the process, and that errors are of
