Test: each mesh on the platform has ports of its own

TestPlatformWholePath failed in 5 of 5 runs directly after TestOddHeartbeatLosesRequests: platform_integration_test.go:204: 0 != 200. Both tests used the same ports, and the HTTP client sent a POST on a connection that it had kept to a process of the test before, which was killed. freePorts now returns other ports at each call. No check is changed. 5 of 5 runs of the two tests are green with it.

--- a/stand/starter/platform_integration_test.go
+++ b/stand/starter/platform_integration_test.go
@@ -37,14 +37,19 @@
 	ports []int
 }
 
-// freePorts returns portCount ports that are free on the first ips addresses.
+// nextPort is the first port that freePorts tries. The HTTP client keeps connections to
+// the processes of an earlier test, so that their ports must not be used again.
+var nextPort = 20000 + os.Getpid()%20000
+
+// freePorts returns portCount ports that are free on the first ips addresses, other ones
+// at each call.
 func freePorts(t *testing.T, ips int) []int {
 	t.Helper()
 	var ports []int
-	for base := 20000 + os.Getpid()%20000; len(ports) < portCount && base < 60000; base++ {
+	for ; len(ports) < portCount && nextPort < 60000; nextPort++ {
 		free := true
 		for i := range ips {
-			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", processIP(i), base))
+			l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", processIP(i), nextPort))
 			if err != nil {
 				free = false
 				break
@@ -52,7 +57,7 @@
 			_ = l.Close()
 		}
 		if free {
-			ports = append(ports, base)
+			ports = append(ports, nextPort)
 		}
 	}
 	if len(ports) < portCount {
