--- a/stand/starter/applied_integration_test.go
+++ b/stand/starter/applied_integration_test.go
@@ -169,6 +169,23 @@
 	return out
 }
 
+// leaderOf waits until one of the control hosts has logged that it leads the group of the
+// configuration, and returns its index.
+func leaderOf(t *testing.T, hosts []*ControlHost) int {
+	leads := func(c *ControlHost) bool {
+		return strings.LastIndex(c.Log(), "leads=true") > strings.LastIndex(c.Log(), "leads=false")
+	}
+	i := -1
+	err := WaitUntil(t.Context(), readyTimeout, "a leader", func() bool {
+		i = slices.IndexFunc(hosts, leads)
+		return i >= 0
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return i
+}
+
 // TestNoNodeDeniesAnEditAfterTheBound guards against a node that answers by an older
 // configuration later than the bound after the acknowledgement of an edit, while some
 // processes get no processor time. Every node must serve the newest route that is due, or
@@ -199,7 +216,7 @@
 				list, running = append(list, running[0].Process), running[1:]
 			}
 			if row.holdLeader {
-				i := slices.IndexFunc(running, func(c *ControlHost) bool { return strings.Contains(c.Log(), "leads=true") })
+				i := leaderOf(t, running)
 				list, running = append(list, running[i].Process), slices.Delete(running, i, i+1)
 			}
 			c := &applyCheck{mesh: m, operator: Mesh{ProgramFolder: m.ProgramFolder, ControlHosts: running}}
