Report an outage before the confirmation of a waiting call is stale

Callers would see 503 for up to half a second, from every node at once, at the beginning of an outage in which control hosts accept nothing or reply nothing; the nodes call themselves not ready meanwhile. docs/DESIGN.md promises that they go on serving.

Cause: the confirmation counts from the start of a call, which in steady state waits 700 ms for a change. The round after it takes up to 1.8 s when all hosts hang, so the outage was reported at an age of 2.5 s, and the table is stale from 2 s on. TestOutageKeepsNodesReady set the fault before any call had waited, when the age at the start of the round is 0.

Change: 20 ms before the confirmation becomes stale, a round in which two hosts or more were called, and none has replied, reports the outage, and its calls go on. It does not when the process got no processor time, or when a host sent an update that the node cannot apply.

--- a/process/subscriber/faults_test.go
+++ b/process/subscriber/faults_test.go
@@ -36,6 +36,8 @@
 	noLeaderDelay = 400 * time.Millisecond
 	// slowDelay is how late a slow control host replies.
 	slowDelay = time.Second
+	// steadyTime is longer than several calls of a node that wait for a change.
+	steadyTime = 5 * time.Second
 	// handlerTime is longer than any call of a host takes.
 	handlerTime = 10 * time.Second
 )
@@ -366,7 +368,7 @@
 
 // TestOutageKeepsNodesReady guards against nodes that stop serving because no control
 // host can confirm their configuration: the outage of all hosts must be known before the
-// confirmation is too old.
+// confirmation is too old, also when the call before it waited for a change.
 func TestOutageKeepsNodesReady(t *testing.T) {
 	for _, hosts := range []int{1, 3, 5, 10} {
 		for _, fault := range []hostFault{faultDown, faultCut, faultHang, faultUnconfirmed, faultHalfReply} {
@@ -374,6 +376,7 @@
 				synctest.Test(t, func(t *testing.T) {
 					is := is.New(t)
 					m := newFaultyMesh(t, hosts)
+					time.Sleep(steadyTime)
 					for _, h := range m.hosts {
 						h.setFault(fault)
 					}
--- a/process/subscriber/round.go
+++ b/process/subscriber/round.go
@@ -28,9 +28,12 @@
 	syncTimeout  = syncWait + 500*time.Millisecond
 	// hostDialTimeout is short, since the node can call another control host.
 	hostDialTimeout = 400 * time.Millisecond
-	// maxRoundCalls bounds the calls of one round. With all of them hanging, the round
-	// ends before the confirmation of the round before it becomes stale.
+	// maxRoundCalls bounds the calls of one round.
 	maxRoundCalls = 4
+	// outageLead is how long before the confirmation becomes stale an outage is reported
+	// when no called host has replied; minOutageHosts is how many must have been called.
+	outageLead     = 20 * time.Millisecond
+	minOutageHosts = 2
 )
 
 // syncStep is the step of an update's way to the node at which a call failed.
@@ -104,6 +107,7 @@
 	r.callNext(ctx)
 	hedge := time.NewTimer(r.firstHedge())
 	defer hedge.Stop()
+	outageAt, almostStale := r.outageTimer()
 	for len(r.open) > 0 {
 		select {
 		case reply := <-r.replies:
@@ -122,6 +126,8 @@
 				hedgesTotal.Inc()
 			}
 			hedge.Reset(hedgeInterval)
+		case <-almostStale:
+			r.reportOutage(outageAt)
 		case <-ctx.Done():
 			return "", false
 		}
@@ -129,6 +135,30 @@
 	return "", false
 }
 
+// outageTimer returns when the round reports an outage if no host has replied by then, by
+// the clock of confirmations, and a channel that receives at that time. The channel is nil
+// when the time has passed.
+func (r *round) outageTimer() (time.Time, <-chan time.Time) {
+	at := r.s.Tables.ConfirmedAt().Add(r.s.MaxConfirmationAge - outageLead)
+	left := at.Sub(r.s.Now())
+	if left <= 0 {
+		return at, nil
+	}
+	return at, time.After(left)
+}
+
+// reportOutage reports an outage while the calls go on: the first one may have been
+// waiting for a change, so the round can end after the confirmation has become stale. It
+// does not when too few hosts were called, or the process got no processor time until
+// long after dueAt, since the hosts may have replied then.
+func (r *round) reportOutage(dueAt time.Time) {
+	late := r.s.Now().Sub(dueAt) > stallTolerance
+	enough := len(r.calls) >= min(minOutageHosts, len(r.s.Hosts.List()))
+	if enough && !late && !r.rejected && !r.stalled {
+		r.s.Tables.ReportOutage()
+	}
+}
+
 // ready reports whether the node only needs changes. Without a configuration it requests
 // the whole state, which takes longer, from one host at a time.
 func (r *round) ready() bool {
