End a control call at its deadline also while it is being sent

A call with 200 ms to a peer that takes none of its bytes ended after 5.1 s; by reading, every other call to that peer waited behind it: a frozen host held those that replicate to it, and commands of nodes, for the time of a frame. Cause: the deadline was looked at only after net/rpc had written the call, which may wait for the peer, with the lock for sending held. Evidence: TestCallToPeerThatReadsNothingTimesOut without the fix: '5.127222614s: dialer: Peer.Identify: broken: framer: write: io: ... i/o timeout'. Change: the end of the context closes the connection from the start of the call on, which ends the sending and the wait alike. The kinds of errors stay.

--- a/connection/dialer/dialer.go
+++ b/connection/dialer/dialer.go
@@ -100,15 +100,11 @@
 	if err != nil {
 		return &Error{method, KindUnreachable, err}
 	}
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
-	select {
-	case <-ctx.Done():
-		c.closeClient(client)
-		// reply must not be written after Call has returned.
-		<-call.Done
-		return &Error{method, KindTimeout, ctx.Err()}
-	case <-call.Done:
-	}
+	// Closing the connection ends both the sending of the call, which may wait for the
+	// peer, and the wait for its reply. So reply is not written after Call has returned.
+	stop := context.AfterFunc(ctx, func() { c.closeClient(client) })
+	defer stop()
+	call := <-client.Go(method, args, reply, make(chan *rpc.Call, 1)).Done
 	if call.Error == nil {
 		return nil
 	}
@@ -117,6 +113,9 @@
 		return &Error{method, KindRemote, call.Error}
 	}
 	c.closeClient(client)
+	if ctx.Err() != nil {
+		return &Error{method, KindTimeout, ctx.Err()}
+	}
 	return &Error{method, KindBroken, call.Error}
 }
 
