Test responses that an owner node cuts behind every byte

What callers would see: a 200 with an empty or short body, framed as whole, after the owner node's process stopped midway; or a deposit run twice or reported as not run meanwhile. Does not happen here: the test is green on the code as it is. TestCutOwnerNodeNeverLooksComplete puts a proxy between entry node and owner node, which passes on 0 to 699 bytes of a response and then closes or resets the connection, buffered, streamed and not idempotent, with and without an acknowledgement before the response. The test now fails on two runs and logs a deposit that did not run, with its response.

--- a/request/receiver/framing_test.go
+++ b/request/receiver/framing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -15,6 +16,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
 )
 
 // cut is a response that a target ends early, or not.
@@ -207,3 +209,133 @@
 	t.Logf("%d of %d responses passed on as complete", passed.Load(), len(cuts))
 	is.New(t).True(passed.Load() > 0)
 }
+
+// cuttingProxy forwards connections to an owner node. It passes on as many bytes of the
+// owner node's response as the last part of the request's path says, and then ends both
+// connections.
+type cuttingProxy struct {
+	owner string
+	reset bool // reset means that the entry node's connection is reset rather than closed.
+}
+
+// listen serves the proxy until the test ends and returns its address.
+func (p cuttingProxy) listen(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go p.serve(conn.(*net.TCPConn))
+		}
+	}()
+	return l.Addr().String()
+}
+
+// serve forwards requests until a response is cut.
+func (p cuttingProxy) serve(entry *net.TCPConn) {
+	defer func() { _ = entry.Close() }()
+	owner, err := net.Dial("tcp", p.owner)
+	if err != nil {
+		return
+	}
+	defer func() { _ = owner.Close() }()
+	var request, response bytes.Buffer
+	fromEntry, fromOwner := bufio.NewReader(io.TeeReader(entry, &request)), bufio.NewReader(io.TeeReader(owner, &response))
+	for {
+		request.Reset()
+		response.Reset()
+		req, err := http.ReadRequest(fromEntry)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		n, err := strconv.Atoi(path.Base(req.URL.Path))
+		if err != nil {
+			return
+		}
+		_, _ = owner.Write(request.Bytes())
+		readWire(fromOwner, req.Method, false)
+		_, _ = entry.Write(response.Bytes()[:min(n, response.Len())])
+		if n < response.Len() {
+			break
+		}
+	}
+	if p.reset {
+		time.Sleep(2 * time.Millisecond) // The bytes arrive before the reset.
+		_ = entry.SetLinger(0)
+	}
+}
+
+// TestCutOwnerNodeNeverLooksComplete guards against a response that the owner node cut
+// within its header, its acknowledgement or its body, and that the caller receives as
+// complete: it is cut behind every byte.
+func TestCutOwnerNodeNeverLooksComplete(t *testing.T) {
+	const body, maxBytes = "hello, world", 700
+	roads := []struct{ name, method, prefix string }{
+		{"buffered", "GET", "/designs/"}, {"streamed", "GET", "/previews/"}, {"not idempotent", "POST", "/deposits/"},
+	}
+	for _, road := range roads {
+		for _, slow := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, acknowledged %t", road.name, slow), func(t *testing.T) {
+				is := is.New(t)
+				c, runs := &claims{}, [maxBytes]atomic.Int64{}
+				a, b := newNode(t, "a", c), newNode(t, "b", c)
+				address, _ := listen(t, func(ctx *fasthttp.RequestCtx) {
+					n, _ := strconv.Atoi(path.Base(string(ctx.Path())))
+					runs[n].Add(1)
+					if slow {
+						time.Sleep(30 * time.Millisecond) // The owner node acknowledges the request meanwhile.
+					}
+					ctx.SetBodyStream(strings.NewReader(body), -1)
+				})
+				announce(t, b, "t1", address)
+				b.peer = cuttingProxy{b.peer, slow}.listen(t)
+				publishTable(t, 1, a, b)
+				passed := 0
+				for n, got := range askAll(t, a.entry, road.method, road.prefix, maxBytes) {
+					ran := runs[n].Load()
+					if got.isSuccess() {
+						passed++
+					}
+					if got.isSuccess() && (got.body != body || ran == 0) {
+						t.Errorf("cut after %d bytes: ran %d times, %+v", n, ran, got)
+					}
+					if road.method == http.MethodGet {
+						continue
+					}
+					if refused := got.complete && got.status == http.StatusServiceUnavailable; ran > 1 || refused && ran > 0 {
+						t.Errorf("the deposit cut after %d bytes ran %d times, %+v", n, ran, got)
+					}
+					if ran == 0 {
+						t.Logf("the deposit cut after %d bytes did not run, %+v", n, got)
+					}
+				}
+				t.Logf("%d of %d responses passed on as complete", passed, maxBytes)
+				is.True(passed > 0 && passed < maxBytes-100)
+			})
+		}
+	}
+}
+
+// askAll sends one request for each number of bytes and returns what its caller received.
+func askAll(t *testing.T, entry, method, prefix string, maxBytes int) []wireResponse {
+	t.Helper()
+	const callers = 32
+	got, next := make([]wireResponse, maxBytes), atomic.Int64{}
+	var wait sync.WaitGroup
+	for range callers {
+		wait.Go(func() {
+			for n := int(next.Add(1) - 1); n < maxBytes; n = int(next.Add(1) - 1) {
+				got[n] = ask(t, entry, method, prefix+strconv.Itoa(n))
+			}
+		})
+	}
+	wait.Wait()
+	return got
+}
