End an outage when a control host confirms a state that is not in force

Callers would see requests handled by an old configuration for as long as a node cannot apply what the control hosts confirm, and the node would call itself ready: docs/DESIGN.md says that it refuses everything then. That held only for a node whose last confirmation was not followed by an outage.

Cause: an outage ended only with the next confirmation. A node that cannot apply the first update after an outage has none.

Change: an update that the node cannot decode or apply ends the outage. The table then is stale until an update is applied, or until all hosts that the node calls are out of reach again.

--- a/process/subscriber/faults_test.go
+++ b/process/subscriber/faults_test.go
@@ -439,6 +439,27 @@
 	})
 }
 
+// TestNodeIsNotReadyWithoutTheUpdateAfterAnOutage guards against a node that goes on
+// serving by its last table when the outage has ended, and a control host confirms a state
+// that the node cannot apply.
+func TestNodeIsNotReadyWithoutTheUpdateAfterAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := newFaultyMesh(t, 3)
+		is.True(m.timeToApply(m.edit(t), applyBound) < applyBound)
+		for _, h := range m.hosts {
+			h.setFault(faultDown)
+		}
+		time.Sleep(steadyTime)
+		is.True(m.node.Ready())
+		for _, h := range m.hosts {
+			h.setFault(faultOlder)
+		}
+		time.Sleep(applyBound)
+		is.True(!m.node.Ready())
+	})
+}
+
 // TestNodeKeepsConnectionsWithoutALeader guards against nodes that open new connections
 // to the control hosts in every round of calls while there is no leader: the hosts of a
 // large mesh would spend an election on them. With a leader, one connection is left.
--- a/process/subscriber/round.go
+++ b/process/subscriber/round.go
@@ -212,7 +212,10 @@
 		r.excluded = slices.DeleteFunc(r.excluded, func(h string) bool { return h == reply.host })
 		return
 	}
-	r.rejected = r.rejected || step == stepDecode || step == stepApply
+	if step == stepDecode || step == stepApply {
+		r.rejected = true
+		r.s.Tables.EndOutage()
+	}
 	if step == stepReply && r.s.Now().After(reply.timeoutAt.Add(stallTolerance)) {
 		r.stalled, step = true, stepStall
 	}
--- a/version/compiler/store.go
+++ b/version/compiler/store.go
@@ -34,7 +34,7 @@
 	confirmedAt time.Time     // confirmedAt is the time up to which every acknowledged version is in force.
 	staleAt     time.Time     // staleAt is when the confirmation expires; zero when it never does.
 	outage      bool
-	reported    chan struct{} // reported is closed at the next call of Confirm or ReportOutage.
+	reported    chan struct{} // reported is closed at the next call of Confirm, ReportOutage or EndOutage.
 }
 
 // Newer returns a channel that is closed once another table than t is in force.
@@ -90,7 +90,7 @@
 }
 
 // ReportOutage records that no control host confirms the table at present. It holds
-// until the next Confirm.
+// until the next Confirm or EndOutage.
 func (s *TableStore) ReportOutage() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -98,6 +98,15 @@
 	s.signalReport()
 }
 
+// EndOutage records that a control host has confirmed a state that is not in force, so
+// that the table may lack a version and counts as stale once its confirmation is too old.
+func (s *TableStore) EndOutage() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outage = false
+	s.signalReport()
+}
+
 // signalReport closes the channel that NextReport returned. s.mu is held.
 func (s *TableStore) signalReport() {
 	if s.reported != nil {
@@ -120,8 +129,8 @@
 	return FreshnessStale
 }
 
-// NextReport returns a channel that is closed at the next call of Confirm or
-// ReportOutage.
+// NextReport returns a channel that is closed at the next call of Confirm,
+// ReportOutage or EndOutage.
 func (s *TableStore) NextReport() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
