Estimator: bound what one far deadline adds to the usual timeout

One request whose caller stated a deadline 24 hours ahead made the requests of its route that followed count as late: their soft deadlines lay hours in the past, so they lost their reserved slots and their place in the queue.

The usual timeout of a route is a moving average of what callers state, and it took any statement: the first request of a route set it, a later one moved it by an eighth of the difference.

Evidence: with the code of before, of 3,000 ordinary requests after one far deadline, estimator_test.go:79: 2950 != 0 // requests with the usual timeout and TestUsualTimeoutStaysBounded fails too.

The first request of a route now counts as at most four latency objectives, a later one as at most twice the usual timeout (or the objective, if that is longer), and none as more than a minute. The route's timeout was no bound to use: a route may have none, and callers whose deadline is longer than it would no longer be told from their retries.

Result: 0 of 3,000 are late, whether the far deadline is the first, the second or the 101st of its route. Routes where many callers state deadlines of different length still compare all of them with one average, which now stays within a minute.

--- a/request/estimator/estimator.go
+++ b/request/estimator/estimator.go
@@ -29,6 +29,13 @@
 	// retryShare is the share of the usual timeout below which a request is taken for a
 	// retry. Above it, the difference may be due to different callers.
 	retryShare = 0.75
+	// maxTimeout, initialObjectives and maxGrowth bound what one request adds to the usual
+	// timeout, whatever deadline its caller states: the first one of a route counts as at
+	// most initialObjectives latency objectives, a later one as at most maxGrowth times
+	// the usual timeout or the latency objective.
+	maxTimeout        = time.Minute
+	initialObjectives = 4
+	maxGrowth         = 2
 	// maxRoutes bounds the memory for routes that are added and removed.
 	maxRoutes = 4096
 )
@@ -49,7 +56,7 @@
 		return receivedAt.Add(latencyObjective)
 	}
 	timeout := deadline.Sub(receivedAt)
-	usual := s.updateUsual(route, timeout)
+	usual := s.updateUsual(route, timeout, latencyObjective)
 	if float64(timeout) > retryShare*float64(usual) {
 		return receivedAt.Add(latencyObjective)
 	}
@@ -57,14 +64,16 @@
 }
 
 // updateUsual moves the usual timeout of the route, a moving average, towards the timeout
-// of a request and returns the new average. The first request of a route sets it.
-func (s *SoftDeadlines) updateUsual(route string, timeout time.Duration) time.Duration {
+// of a request and returns the new average. The first request of a route sets it. A
+// single request with a deadline far ahead changes it little.
+func (s *SoftDeadlines) updateUsual(route string, timeout, latencyObjective time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.usualTimeouts == nil || len(s.usualTimeouts) > maxRoutes {
 		s.usualTimeouts = map[string]time.Duration{}
 	}
 	usual, ok := s.usualTimeouts[route]
+	timeout = min(timeout, maxTimeout, maxSample(usual, ok, min(latencyObjective, maxTimeout)))
 	switch {
 	case !ok:
 		usual = timeout
@@ -76,3 +85,12 @@
 	s.usualTimeouts[route] = usual
 	return usual
 }
+
+// maxSample returns the longest timeout that updateUsual takes from one request. known
+// is false for the first request of a route.
+func maxSample(usual time.Duration, known bool, latencyObjective time.Duration) time.Duration {
+	if !known {
+		return initialObjectives * latencyObjective
+	}
+	return maxGrowth * max(usual, latencyObjective)
+}
--- a/request/estimator/estimator_test.go
+++ b/request/estimator/estimator_test.go
@@ -10,7 +10,7 @@
 
 const (
 	latencyObjective = 600 * time.Millisecond
-	maxTimeout       = 2500 * time.Millisecond // maxTimeout is the longest timeout of a caller.
+	callerTimeout    = 2500 * time.Millisecond // callerTimeout is the longest timeout of a caller.
 )
 
 // TestRetriesArePastSoftDeadline guards against retries that are taken for new requests:
@@ -22,7 +22,7 @@
 	now := time.Unix(100, 0)
 	for range 2000 {
 		now = now.Add(10 * time.Millisecond)
-		first := maxTimeout - time.Duration(g.Int64N(int64(maxTimeout)/6)) // the timeouts of callers differ a little
+		first := callerTimeout - time.Duration(g.Int64N(int64(callerTimeout)/6)) // the timeouts of callers differ a little
 		is.Equal(s.SoftDeadline("a", now, now.Add(first), latencyObjective), now.Add(latencyObjective))
 		for range 2 {
 			age := time.Second + time.Duration(g.Int64N(int64(time.Second/2)))
@@ -38,9 +38,9 @@
 	is := is.New(t)
 	s := &SoftDeadlines{}
 	now := time.Unix(100, 0)
-	is.Equal(s.SoftDeadline("a", now, now.Add(maxTimeout), latencyObjective), now.Add(latencyObjective))
+	is.Equal(s.SoftDeadline("a", now, now.Add(callerTimeout), latencyObjective), now.Add(latencyObjective))
 	is.Equal(s.SoftDeadline("a", now, time.Time{}, latencyObjective), now.Add(latencyObjective))
-	is.Equal(s.SoftDeadline("b", now, now.Add(maxTimeout/4), latencyObjective), now.Add(latencyObjective))
+	is.Equal(s.SoftDeadline("b", now, now.Add(callerTimeout/4), latencyObjective), now.Add(latencyObjective))
 }
 
 // TestUsualTimeoutFollowsCallers guards against callers that are taken for retries
@@ -50,11 +50,44 @@
 	s := &SoftDeadlines{}
 	now := time.Unix(100, 0)
 	for range 100 {
-		s.SoftDeadline("a", now, now.Add(maxTimeout), latencyObjective)
+		s.SoftDeadline("a", now, now.Add(callerTimeout), latencyObjective)
 	}
-	is.True(s.SoftDeadline("a", now, now.Add(maxTimeout/2), latencyObjective).Before(now))
+	is.True(s.SoftDeadline("a", now, now.Add(callerTimeout/2), latencyObjective).Before(now))
 	for range 3 * decreaseSamples {
-		s.SoftDeadline("a", now, now.Add(maxTimeout/2), latencyObjective)
+		s.SoftDeadline("a", now, now.Add(callerTimeout/2), latencyObjective)
 	}
-	is.Equal(s.SoftDeadline("a", now, now.Add(maxTimeout/2), latencyObjective), now.Add(latencyObjective))
+	is.Equal(s.SoftDeadline("a", now, now.Add(callerTimeout/2), latencyObjective), now.Add(latencyObjective))
+}
+
+// TestFarDeadlineMakesNoRequestLate guards against requests that count as late because one
+// caller, the first of its route or a later one, stated a deadline a day ahead.
+func TestFarDeadlineMakesNoRequestLate(t *testing.T) {
+	for _, before := range []int{0, 1, 100} {
+		is := is.New(t)
+		s := &SoftDeadlines{}
+		now := time.Unix(100, 0)
+		for range before {
+			s.SoftDeadline("a", now, now.Add(callerTimeout), latencyObjective)
+		}
+		s.SoftDeadline("a", now, now.Add(24*time.Hour), latencyObjective)
+		late := 0
+		for range 3000 {
+			if s.SoftDeadline("a", now, now.Add(callerTimeout), latencyObjective).Before(now.Add(latencyObjective)) {
+				late++
+			}
+		}
+		is.Equal(late, 0) // requests with the usual timeout
+	}
+}
+
+// TestUsualTimeoutStaysBounded guards against a usual timeout of days after many callers
+// stated deadlines that far ahead.
+func TestUsualTimeoutStaysBounded(t *testing.T) {
+	is := is.New(t)
+	s := &SoftDeadlines{}
+	now := time.Unix(100, 0)
+	for range 1000 {
+		s.SoftDeadline("a", now, now.Add(24*time.Hour), latencyObjective)
+	}
+	is.True(!s.SoftDeadline("a", now, now.Add(callerTimeout), latencyObjective).Before(now.Add(-time.Minute)))
 }
