Controller: stamp the crash reports of nodes with the control host's time

A crash report from a node whose clock was 200 years ahead removed all other poison requests from the replicated state, so requests that crash targets were let through again, and its own record would have stayed until 2226.

The report carried the node's time, and the state machine drops the records that are expired at that time and computes the expiry of the new one from it. Announcements and claims already get the time of the control host that proposes them; crash reports did not.

Evidence: four reports, with the present time, none, 200 years ahead and 200 years back; with the code of before report_test.go:30: 2 != 4

The control host that a node's report reaches now sets its time. Nothing changes in the state machine, in the encoding or for logs that exist: the time is still part of the command.

Result: all four records are kept, and each expires within the usual lifetime. A record that was stored before with a far expiry stays until the bound on the list removes it.

--- a/process/controller/methods.go
+++ b/process/controller/methods.go
@@ -109,10 +109,11 @@
 // claims and report crashes; edits are accepted only through the operators' API.
 func (m *nodeMethods) Command(args messenger.CommandArgs, reply *messenger.CommandReply) error {
 	if !m.trusted && args.Group == messenger.GroupConfig {
-		c, err := applier.Decode(args.Command)
-		if _, ok := c.(applier.ReportCrash); err != nil || !ok {
-			return errors.New("nodes are not allowed to change the configuration")
+		stamped, err := stampReport(args.Command, time.Now())
+		if err != nil {
+			return err
 		}
+		args.Command = stamped
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
 	defer cancel()
@@ -120,6 +121,19 @@
 	return nil
 }
 
+// stampReport sets the time of a node's encoded crash report for a proposal at the time
+// now and returns it encoded, so that the clock of a node decides nothing. It returns an
+// error for any other command.
+func stampReport(command []byte, now time.Time) ([]byte, error) {
+	c, err := applier.Decode(command)
+	report, ok := c.(applier.ReportCrash)
+	if err != nil || !ok {
+		return nil, errors.New("nodes are not allowed to change the configuration")
+	}
+	report.At = now
+	return applier.Encode(report)
+}
+
 // Announce accepts a node's list of targets. Lists that arrive close together are
 // sent to the leader in one batch.
 func (m *nodeMethods) Announce(args messenger.AnnounceArgs, reply *messenger.AnnounceReply) error {
--- /dev/null
+++ b/process/controller/report_test.go
@@ -0,0 +1,35 @@
+package controller
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/hornbeamrack/hornbeamrack/connection/messenger"
+	"github.com/hornbeamrack/hornbeamrack/version/applier"
+)
+
+// TestNodeClockRemovesPoisonRequests guards against a node whose clock is 200 years ahead:
+// its crash report removed all other poison requests, and its own stayed for as long.
+func TestNodeClockRemovesPoisonRequests(t *testing.T) {
+	is := is.New(t)
+	state := &applier.Applier{}
+	c := newLeader(t, state)
+	m := &nodeMethods{c: c}
+	now := time.Now()
+	for i, at := range []time.Time{now, {}, now.AddDate(200, 0, 0), now.AddDate(-200, 0, 0)} {
+		b, err := applier.Encode(applier.ReportCrash{Service: "designs", Signature: uint64(i), Node: "n1", At: at})
+		is.NoErr(err)
+		var reply messenger.CommandReply
+		is.NoErr(m.Command(messenger.CommandArgs{Group: messenger.GroupConfig, Command: b}, &reply))
+		is.Equal(reply.Failure, "")
+		is.True(!reply.NotLeader)
+	}
+	poison := state.State().PoisonRequests
+	is.Equal(len(poison), 4)
+	for _, p := range poison {
+		is.True(p.ExpiresAt.After(now))
+		is.True(p.ExpiresAt.Before(time.Now().Add(applier.PoisonRequestTTL + time.Second)))
+	}
+}
