Receiver: answer 400 to an idempotency key that cannot be claimed

A request that is not idempotent and whose idempotency key was not UTF-8 got 503, not run, reason claim: an invitation to try again, which could never succeed. With real control hosts it came only after the two seconds that a claim may take, and the request held a slot of its target meanwhile.

Commands on claims are CBOR, and the control hosts reject a command with text that is not UTF-8 when they set its times. The nodes sent it all the same.

The entry node now rejects such a request as malformed, before an endpoint is selected and anything is proposed. Only requests that need a claim are checked: on other requests the key is passed on as before.

Result: 400, not run, reason badRequest, no run at the target; an idempotent request with the same key, and a key with other UTF-8 text, run.

--- a/request/claimer/claimer.go
+++ b/request/claimer/claimer.go
@@ -26,6 +26,7 @@
 	"fmt"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 
@@ -103,6 +104,10 @@
 	Lifetime time.Duration `cbor:"8,keyasint,omitempty"`
 }
 
+// ValidKey reports whether an idempotency key can be claimed: it must be UTF-8, as
+// commands are encoded, and at most MaxKeyBytes long.
+func ValidKey(key string) bool { return len(key) <= MaxKeyBytes && utf8.ValidString(key) }
+
 // WithTime returns the command with its times set for a proposal at the time now.
 func (c Command) WithTime(now time.Time) Command {
 	c.ProposedAt = now
--- a/request/receiver/receiver.go
+++ b/request/receiver/receiver.go
@@ -28,6 +28,7 @@
 	"github.com/hornbeamrack/hornbeamrack/process/tracer"
 	"github.com/hornbeamrack/hornbeamrack/request/budgeter"
 	"github.com/hornbeamrack/hornbeamrack/request/checker"
+	"github.com/hornbeamrack/hornbeamrack/request/claimer"
 	"github.com/hornbeamrack/hornbeamrack/request/estimator"
 	"github.com/hornbeamrack/hornbeamrack/request/executor"
 	"github.com/hornbeamrack/hornbeamrack/request/forwarder"
@@ -211,6 +212,9 @@
 	defer span.End()
 	span.SetAttribute("route", route.Path)
 	s := v.newRequestState(x, table, route, caller)
+	if s.unsafe && !claimer.ValidKey(string(req.Header.Peek(checker.HeaderIdempotencyKey))) {
+		return v.reject(x, translator.NotRun(translator.ReasonBadRequest), "header "+checker.HeaderIdempotencyKey+" is not UTF-8", time.Time{})
+	}
 	if v.Poison.ShouldReject(s.service.Name, req) {
 		return v.finish(s, translator.NotRun(translator.ReasonPoison), "poison request: it was in flight when targets crashed and is not run again")
 	}
