Executor: settle a claim whose response has an odd content type

After a response whose Content-Type is not UTF-8 the claim of the request was never settled. The owner node sent the response to the control hosts again for half a minute, and a stop of the node waited for that. A resend waited for the claim until its deadline and got an unknown outcome.

Commands on claims are CBOR; the control hosts reject text that is not UTF-8 when they set the times of a command.

Such a response is now stored like one with a body that is too long: the claim is settled, and only the status is stored. The response is not stored without its type, since a resend would then get a response that the target did not send.

Result: the claim is settled at the first attempt, a resend is answered 'could not be stored' at once, and the target runs the request once.

--- a/request/claimer/claimer.go
+++ b/request/claimer/claimer.go
@@ -21,6 +21,7 @@
 package claimer
 
 import (
+	"bytes"
 	"container/list"
 	"context"
 	"fmt"
@@ -40,7 +41,7 @@
 	// DefaultMaxClaims bounds the number of keys stored in a Registry without MaxClaims.
 	DefaultMaxClaims = 1_000_000
 	// MaxStoredBodyBytes bounds the body of a response that is stored for retries.
-	// A longer body is not stored, only the status and the content type.
+	// Of a response with a longer body only the status is stored.
 	MaxStoredBodyBytes = 16 << 10
 	// MaxKeyBytes bounds the length of an idempotency key in bytes; a longer one is rejected.
 	MaxKeyBytes = 128
@@ -85,7 +86,17 @@
 	Status      int    `cbor:"1,keyasint"` // Status is the HTTP status code.
 	ContentType string `cbor:"2,keyasint,omitempty"`
 	Body        []byte `cbor:"3,keyasint,omitempty"`
-	Truncated   bool   `cbor:"4,keyasint,omitempty"` // Truncated means that the body was too long to store.
+	Truncated   bool   `cbor:"4,keyasint,omitempty"` // Truncated means that the body or the content type could not be stored.
+}
+
+// NewResponse returns a response in the form in which it is stored, with a copy of the
+// body. If the body is too long or the content type cannot be encoded, only the status
+// is stored.
+func NewResponse(status int, contentType, body []byte) *Response {
+	if len(body) > MaxStoredBodyBytes || !utf8.Valid(contentType) {
+		return &Response{Status: status, Truncated: true}
+	}
+	return &Response{Status: status, ContentType: string(contentType), Body: bytes.Clone(body)}
 }
 
 // Command is one change of the registry. Nodes leave its times unset: the control
--- a/request/executor/claim.go
+++ b/request/executor/claim.go
@@ -115,7 +115,7 @@
 func (x *Executor) replayResponse(resp *fasthttp.Response, stored *claimer.Response) (translator.Report, string) {
 	held := translator.Unknown(translator.ReasonClaimHeld)
 	if stored.Truncated {
-		return held, "an earlier attempt with this idempotency key ran, but its response was too long to store"
+		return held, "an earlier attempt with this idempotency key ran, but its response could not be stored"
 	}
 	resp.Reset()
 	resp.SetStatusCode(stored.Status)
@@ -133,13 +133,7 @@
 // the caller. It returns at once: storing runs in the background and does not
 // delay the response.
 func (x *Executor) settleClaim(c claimer.Command, resp *fasthttp.Response) {
-	stored := &claimer.Response{Status: resp.StatusCode(), ContentType: string(resp.Header.ContentType())}
-	if body := resp.Body(); len(body) <= claimer.MaxStoredBodyBytes {
-		stored.Body = append([]byte(nil), body...)
-	} else {
-		stored.Truncated = true
-	}
-	c.Action, c.Response = claimer.ActionSettle, stored
+	c.Action, c.Response = claimer.ActionSettle, claimer.NewResponse(resp.StatusCode(), resp.Header.ContentType(), resp.Body())
 	x.background.Go(func() { x.runUntilConfirmed(c) })
 }
 
--- a/request/receiver/encoding_test.go
+++ b/request/receiver/encoding_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"github.com/hornbeamrack/hornbeamrack/common/encoder"
 	"github.com/hornbeamrack/hornbeamrack/request/claimer"
+	"github.com/hornbeamrack/hornbeamrack/request/translator"
 )
 
 // encodedClaims is a claim register that takes commands in their encoded form, as the
@@ -53,3 +55,28 @@
 	is.Equal(call(t, a.entry, "GET", "/designs/1", "k\xff").outcome, "ran") // no claim is needed
 	is.Equal(call(t, a.entry, "POST", "/deposits", "k\u00e9").outcome, "ran")
 }
+
+// TestOddContentTypeLeavesClaimHeld guards against a claim that stays unsettled, its settling
+// sent again for half a minute, because the Content-Type of the response is not UTF-8.
+func TestOddContentTypeLeavesClaimHeld(t *testing.T) {
+	is := is.New(t)
+	c := &encodedClaims{}
+	a, b := newNode(t, "a", c), newNode(t, "b", c)
+	f := &fakeTarget{respond: func(ctx *fasthttp.RequestCtx) {
+		ctx.SetContentType("text/plain; name=\xff")
+		ctx.SetBodyString("done")
+	}}
+	address, _ := listen(t, f.handle)
+	announce(t, b, "t1", address)
+	publishTable(t, 1, a, b)
+	is.Equal(call(t, a.entry, "POST", "/deposits", "k").outcome, "ran")
+	start := time.Now()
+	b.executor.Wait()
+	is.True(time.Since(start) < 5*time.Second) // the first attempt to settle succeeds
+	again := call(t, a.entry, "POST", "/deposits", "k")
+	t.Log(again)
+	is.Equal(again.outcome, "unknown")
+	is.Equal(again.reason, string(translator.ReasonClaimHeld))
+	is.True(strings.Contains(again.body, "could not be stored"))
+	is.Equal(f.ran("k"), 1)
+}
