Claimer: bound the lifetime, the key and the response that a node may set

The control hosts took any claim that a node sent: with the longest lifetime that a duration holds it stayed for 292 years, with one that is not positive it expired at once, so that the request could run again, and a key of a megabyte was granted. A stored response had no bound either.

The bounds were known to the nodes only: the settings limit the lifetime, the entry node the key and the owner node the body.

Stamp, which the control host that proposes calls, now limits the lifetime to the maximum of the settings (which now take it from there), replaces one that is not positive by the default, stores only the status of a response that is too long, and rejects a key, service or attempt that is too long before it is proposed. Applying a command is unchanged, as are the encoding and logs that exist.

What remains: claims are deleted in the order in which they were granted, so one claim of a year still keeps later, shorter ones in the register until it expires. That order is part of the replicated state.

--- a/process/configurer/configurer.go
+++ b/process/configurer/configurer.go
@@ -25,6 +25,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/hornbeamrack/hornbeamrack/common/decoder"
+	"github.com/hornbeamrack/hornbeamrack/request/claimer"
 	"github.com/hornbeamrack/hornbeamrack/version/parser"
 )
 
@@ -72,7 +73,7 @@
 	maxLinkMbps          = 1e12
 	maxRetryRatio        = 1e12
 	maxRetrySlack        = 1e12
-	maxClaimLifetime     = 366 * 24 * time.Hour
+	maxClaimLifetime     = claimer.MaxLifetime
 	// softLimitRatio is the soft memory limit as a part of the hard limit.
 	softLimitRatio = 0.6
 )
--- a/request/claimer/claimer.go
+++ b/request/claimer/claimer.go
@@ -25,6 +25,7 @@
 	"container/list"
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 	"unicode/utf8"
@@ -38,13 +39,19 @@
 const (
 	// DefaultLifetime is how long a key is stored unless another lifetime is configured.
 	DefaultLifetime = 24 * time.Hour
+	// MaxLifetime is the longest time for which a key is stored.
+	MaxLifetime = 366 * 24 * time.Hour
 	// DefaultMaxClaims bounds the number of keys stored in a Registry without MaxClaims.
 	DefaultMaxClaims = 1_000_000
 	// MaxStoredBodyBytes bounds the body of a response that is stored for retries.
 	// Of a response with a longer body only the status is stored.
 	MaxStoredBodyBytes = 16 << 10
+	// maxStoredBytes bounds the body and the content type of a response in a command.
+	maxStoredBytes = 2 * MaxStoredBodyBytes
 	// MaxKeyBytes bounds the length of an idempotency key in bytes; a longer one is rejected.
 	MaxKeyBytes = 128
+	// maxNameBytes bounds the name of the service and the id of the attempt in a command.
+	maxNameBytes = 4 << 10
 )
 
 // Kind classifies the errors of this package.
@@ -53,6 +60,7 @@
 // The kinds of claim errors.
 const (
 	KindCorrupt Kind = "damaged" // KindCorrupt means that a command or a snapshot cannot be decoded or encoded.
+	KindTooLong Kind = "tooLong" // KindTooLong means that a key, or a name in a command, is too long to be stored.
 )
 
 // Error is the only error type of this package.
@@ -128,15 +136,43 @@
 	return c
 }
 
-// Stamp sets the times of an encoded command for a proposal at the time now and
-// returns it encoded. It returns an Error of KindCorrupt if the command cannot be
-// decoded.
+// checkLengths returns an Error of KindTooLong if the key or a name of the command is
+// too long to be stored.
+func (c Command) checkLengths() error {
+	service, key, _ := strings.Cut(c.Key, "\x00")
+	if len(key) > MaxKeyBytes || len(service) > maxNameBytes || len(c.Attempt) > maxNameBytes {
+		return &Error{"stamp", KindTooLong, errors.Errorf("key of %d bytes, service of %d, attempt of %d", len(key), len(service), len(c.Attempt))}
+	}
+	return nil
+}
+
+// withBounds returns the command with a lifetime and a response that may be stored. A
+// lifetime that is not positive is replaced by DefaultLifetime, since such a claim would
+// expire at once and its request could run again.
+func (c Command) withBounds() Command {
+	if c.Action == ActionClaim && c.Lifetime <= 0 {
+		c.Lifetime = DefaultLifetime
+	}
+	c.Lifetime = min(c.Lifetime, MaxLifetime)
+	if c.Response != nil && len(c.Response.Body)+len(c.Response.ContentType) > maxStoredBytes {
+		c.Response = &Response{Status: c.Response.Status, Truncated: true}
+	}
+	return c
+}
+
+// Stamp sets the times of an encoded command for a proposal at the time now, limits what
+// a node may have set to any value, and returns the command encoded. It returns an Error
+// of KindCorrupt if the command cannot be decoded, and of KindTooLong if its key is too
+// long.
 func Stamp(command []byte, now time.Time) ([]byte, error) {
 	var c Command
 	if err := encoder.Unmarshal(command, &c); err != nil {
 		return nil, &Error{"stamp", KindCorrupt, err}
 	}
-	b, err := encoder.Marshal(c.WithTime(now))
+	if err := c.checkLengths(); err != nil {
+		return nil, err
+	}
+	b, err := encoder.Marshal(c.withBounds().WithTime(now))
 	if err != nil {
 		return nil, &Error{"stamp", KindCorrupt, err}
 	}
