Controller: reject evidence that no requests can have led to

A node could report more failures than requests, counts near the largest number, or latencies whose sum is negative or no number. One such report could roll back the move of a good version, or make every later figure of the move useless: a sum with NaN in it stays NaN.

The reports were merged into the window of the move as they came.

The others of the same report are kept. hornbeam_evidence_rejected_total counts them. Evidence with another number of buckets, as another release may send, is accepted as before.

--- a/process/controller/decide.go
+++ b/process/controller/decide.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/hornbeamrack/hornbeamrack/common/sleeper"
 	"github.com/hornbeamrack/hornbeamrack/version/applier"
 	"github.com/hornbeamrack/hornbeamrack/version/decider"
@@ -13,6 +15,9 @@
 // maxBufferedEvidence bounds an evidenceBuffer, in pieces of evidence.
 const maxBufferedEvidence = 4096
 
+// rejectedEvidence counts the pieces of evidence that were not valid.
+var rejectedEvidence = metrics.NewCounter("hornbeam_evidence_rejected_total")
+
 // evidenceBuffer stores evidence that nodes reported until the leader uses it or
 // this host sends it to the leader. It is safe for concurrent use.
 type evidenceBuffer struct {
@@ -31,9 +36,10 @@
 	return b.signal
 }
 
-// add appends a list of evidence and closes the channel of available. A list that
-// does not fit is dropped.
+// add appends the valid evidence of a list and closes the channel of available. A list
+// that does not fit is dropped.
 func (b *evidenceBuffer) add(list []decider.Evidence) {
+	list = validEvidence(list)
 	if len(list) == 0 {
 		return
 	}
@@ -52,6 +58,18 @@
 	}
 }
 
+// validEvidence returns the valid evidence of a list, in a new list.
+func validEvidence(list []decider.Evidence) []decider.Evidence {
+	var valid []decider.Evidence
+	for _, e := range list {
+		if e.Valid() {
+			valid = append(valid, e)
+		}
+	}
+	rejectedEvidence.Add(len(list) - len(valid))
+	return valid
+}
+
 // take removes and returns all buffered evidence, or nil when there is none.
 func (b *evidenceBuffer) take() []decider.Evidence {
 	b.mu.Lock()
--- a/version/decider/evidence.go
+++ b/version/decider/evidence.go
@@ -16,6 +16,10 @@
 	minSlowDelay       = 5 * time.Millisecond // minSlowDelay is the smallest delay above the baseline quantile that matters to callers.
 	baselineDecay      = 0.9                  // baselineDecay is the weight that earlier windows keep with each new one.
 	failurePrior       = 0.5                  // failurePrior is added to each count of failures, so that no rate is 0.
+	// maxTallyRequests and maxMeanLatency bound the evidence that one node reports at a
+	// time, so that sums over nodes do not overflow.
+	maxTallyRequests = 1_000_000_000
+	maxMeanLatency   = 24 * time.Hour
 )
 
 // Tally counts the requests to one target version on one route.
@@ -54,6 +58,30 @@
 	t.Buckets[bucketOf(latency)]++
 }
 
+// Valid reports whether requests can have led to the tally: no count exceeds the number
+// of requests, and the sum of the latencies is a number within bounds.
+func (t Tally) Valid() bool {
+	if t.Requests > maxTallyRequests || t.Failures > t.Requests {
+		return false
+	}
+	if !(t.Seconds >= 0 && t.Seconds <= float64(t.Requests)*maxMeanLatency.Seconds()) {
+		return false // Seconds may be NaN.
+	}
+	return len(t.Buckets) != bucketCount || t.bucketsValid()
+}
+
+// bucketsValid reports whether the buckets hold at most the requests that did not fail.
+func (t Tally) bucketsValid() bool {
+	left := t.Requests - t.Failures
+	for _, n := range t.Buckets {
+		if n > left {
+			return false
+		}
+		left -= n
+	}
+	return true
+}
+
 // Merge adds another tally. Buckets of another length are dropped.
 func (t *Tally) Merge(o Tally) {
 	t.Requests += o.Requests
