Controller: report a command that cannot be applied as a failure

The sender of a command that no host could apply got a reply without a failure, whose result decoded to an empty one: an edit would have been taken for accepted though nothing was changed.

proposeHere encoded whatever the state machine returned, and an error encodes to a map that the decoder of results ignores.

An error as the result of a command is now a failure in the reply.

Result: the reply has no result and names the cause, and propose returns an error.

--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -391,6 +391,15 @@
 	case err != nil:
 		return messenger.CommandReply{Failure: err.Error()}
 	}
+	return replyWith(value)
+}
+
+// replyWith returns the reply to a command that was applied with the given result. An
+// error, the result of a command that cannot be applied, is a failure.
+func replyWith(value any) messenger.CommandReply {
+	if err, ok := value.(error); ok {
+		return messenger.CommandReply{Failure: err.Error()}
+	}
 	b, err := encoder.Marshal(value)
 	if err != nil {
 		return messenger.CommandReply{Failure: err.Error()}
