Controller: bound the names in the crash reports of nodes

A crash report with a service name of a megabyte was accepted. The control hosts stored it in the replicated state and sent it to all nodes with their endpoints, up to the bound on the number of reports.

Only the size of a message from a node had a bound.

Evidence: without the check, TestLongReportIsStored fails: no error for a report with such a name.

A report with a service or node name over 4 KiB is now rejected before it is proposed.

Result: the test passes, and names of 300 bytes are accepted as before.

--- a/process/controller/methods.go
+++ b/process/controller/methods.go
@@ -23,6 +23,8 @@
 	// syncReadIndexTimeout is long enough for a node's call to wait for the end of
 	// an election.
 	syncReadIndexTimeout = 400 * time.Millisecond
+	// maxReportNameBytes bounds the names of the service and the node in a crash report.
+	maxReportNameBytes = 4 << 10
 )
 
 // nodeMethods are the RPC methods for nodes. trusted is set on connections of
@@ -123,13 +125,16 @@
 
 // stampReport sets the time of a node's encoded crash report for a proposal at the time
 // now and returns it encoded, so that the clock of a node decides nothing. It returns an
-// error for any other command.
+// error for a report that is too long to be stored, and for any other command.
 func stampReport(command []byte, now time.Time) ([]byte, error) {
 	c, err := applier.Decode(command)
 	report, ok := c.(applier.ReportCrash)
 	if err != nil || !ok {
 		return nil, errors.New("nodes are not allowed to change the configuration")
 	}
+	if len(report.Service) > maxReportNameBytes || len(report.Node) > maxReportNameBytes {
+		return nil, errors.Errorf("a name in the crash report is longer than %d bytes", maxReportNameBytes)
+	}
 	report.At = now
 	return applier.Encode(report)
 }
--- a/process/controller/report_test.go
+++ b/process/controller/report_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -33,3 +34,20 @@
 		is.True(p.ExpiresAt.Before(time.Now().Add(applier.PoisonRequestTTL + time.Second)))
 	}
 }
+
+// TestLongReportIsStored guards against a crash report with a name of a megabyte, which
+// would be stored by all control hosts and sent to all nodes.
+func TestLongReportIsStored(t *testing.T) {
+	is := is.New(t)
+	long := strings.Repeat("n", 1<<20)
+	for _, r := range []applier.ReportCrash{{Service: long, Node: "n1"}, {Service: "designs", Node: long}} {
+		b, err := applier.Encode(r)
+		is.NoErr(err)
+		_, err = stampReport(b, time.Now())
+		is.True(err != nil)
+	}
+	b, err := applier.Encode(applier.ReportCrash{Service: long[:300], Node: long[:300]})
+	is.NoErr(err)
+	_, err = stampReport(b, time.Now())
+	is.NoErr(err)
+}
