--- a/process/controller/methods.go
+++ b/process/controller/methods.go
@@ -23,6 +23,8 @@
 	// syncReadIndexTimeout is long enough for a node's call to wait for the end of
 	// an election.
 	syncReadIndexTimeout = 400 * time.Millisecond
+	// maxReportNameBytes bounds the names of the service and the node in a crash report.
+	maxReportNameBytes = 4 << 10
 )
 
 // nodeMethods are the RPC methods for nodes. trusted is set on connections of
@@ -109,10 +111,11 @@
 // claims and report crashes; edits are accepted only through the operators' API.
 func (m *nodeMethods) Command(args messenger.CommandArgs, reply *messenger.CommandReply) error {
 	if !m.trusted && args.Group == messenger.GroupConfig {
-		c, err := applier.Decode(args.Command)
-		if _, ok := c.(applier.ReportCrash); err != nil || !ok {
-			return errors.New("nodes are not allowed to change the configuration")
+		stamped, err := stampReport(args.Command, time.Now())
+		if err != nil {
+			return err
 		}
+		args.Command = stamped
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), commandTimeout)
 	defer cancel()
@@ -120,6 +123,22 @@
 	return nil
 }
 
+// stampReport sets the time of a node's encoded crash report for a proposal at the time
+// now and returns it encoded, so that the clock of a node decides nothing. It returns an
+// error for a report that is too long to be stored, and for any other command.
+func stampReport(command []byte, now time.Time) ([]byte, error) {
+	c, err := applier.Decode(command)
+	report, ok := c.(applier.ReportCrash)
+	if err != nil || !ok {
+		return nil, errors.New("nodes are not allowed to change the configuration")
+	}
+	if len(report.Service) > maxReportNameBytes || len(report.Node) > maxReportNameBytes {
+		return nil, errors.Errorf("a name in the crash report is longer than %d bytes", maxReportNameBytes)
+	}
+	report.At = now
+	return applier.Encode(report)
+}
+
 // Announce accepts a node's list of targets. Lists that arrive close together are
 // sent to the leader in one batch.
 func (m *nodeMethods) Announce(args messenger.AnnounceArgs, reply *messenger.AnnounceReply) error {
