End a request at once when the header of its response has bare line feeds

Callers would see: the deadline passes (504), and the slot of the target is held until then, at a target that ends lines without a carriage return. Cause: the header's end is looked for as an empty line with carriage returns, and nothing ended the search when lines came without. Change: the first such line feed breaks the connection, outcome unknown.

--- a/request/forwarder/header.go
+++ b/request/forwarder/header.go
@@ -40,6 +40,9 @@
 		if i := bytes.Index(b[searched:], headerEnd); i >= 0 {
 			return b[:searched+i+len(lineEnd)], nil
 		}
+		if hasBareLineFeed(b[searched:]) {
+			return nil, errors.New("a line of the header ends without a carriage return")
+		}
 		searched = max(0, len(b)-len(headerEnd)+1)
 		if _, err := br.Peek(len(b) + 1); err != nil {
 			return nil, errors.Wrapf(err, "the header is not complete after %d bytes", len(b))
@@ -47,6 +50,17 @@
 	}
 }
 
+// hasBareLineFeed reports whether a line feed in b does not follow a carriage return. The
+// first byte is not checked.
+func hasBareLineFeed(b []byte) bool {
+	for i := 1; i < len(b); i++ {
+		if b[i] == '\n' && b[i-1] != '\r' {
+			return true
+		}
+	}
+	return false
+}
+
 // checkHeader returns an error if the status line or a header line is not well-formed.
 // Each line ends with a carriage return and a line feed.
 func checkHeader(raw []byte) error {
