Log responses of other requests among the lines on requests

An operator would lose lines on state changes among them: the warning went to the buffer of state lines, at up to 20 a second of a faulty target. Cause: the executor's logger was given before lines on requests had a buffer of their own. Change: Logger.Requests. Read, no run shows the loss.

--- a/request/executor/executor.go
+++ b/request/executor/executor.go
@@ -356,7 +356,7 @@
 func (x *Executor) recordForeignResponse(t *registrar.Target, o Order, status int, m translator.ResponseMetadata) {
 	foreignResponsesTotal.Inc()
 	if x.Logger.AllowLine(msgForeignResponse) {
-		x.Logger.Warn(msgForeignResponse, "id", o.RequestID, "echoedID", m.RequestID, "target", t.Target, "route", o.Route, "status", status, "notRun", m.NotRun)
+		x.Logger.Requests.Warn(msgForeignResponse, "id", o.RequestID, "echoedID", m.RequestID, "target", t.Target, "route", o.Route, "status", status, "notRun", m.NotRun)
 	}
 }
 
