TestLateReplyReachesNoOtherCall: connect before each call that may time out

Cause: traced. The first call's deadline of 4 ms covered the dial too; when it passed, the client waited before it connected again and each later call failed at once, so the loop tested nothing. Change: a call that is repeated until it has a reply, within 10 s, precedes each call that may time out; its reply must be its own, 200 times.

--- a/connection/dialer/reply_test.go
+++ b/connection/dialer/reply_test.go
@@ -157,7 +157,9 @@
 			if !ok {
 				return
 			}
-			time.Sleep(delay)
+			if n > 0 {
+				time.Sleep(delay)
+			}
 			respond(codec, r.Seq, testReply{N: n})
 		}
 	})
@@ -165,6 +167,7 @@
 	defer c.Close()
 	timedOut := 0
 	for i := 1; i <= 200; i++ {
+		is.Equal(callUntilReply(t, c, -i).N, -i) // also connects again after a timeout
 		ctx, cancel := context.WithTimeout(t.Context(), delay-time.Millisecond+time.Duration(i%20)*100*time.Microsecond)
 		var reply testReply
 		err := c.Call(ctx, "Peer.Identify", i, &reply)
@@ -177,7 +180,26 @@
 		is.Equal(reply.N, i)
 	}
 	t.Logf("%d of 200 calls timed out", timedOut)
-	is.True(timedOut > 0 && timedOut < 200)
+	is.True(timedOut > 0)
+}
+
+// callUntilReply calls until there is a reply: after a failed call, the client waits
+// before it connects again.
+func callUntilReply(t *testing.T, c *Client, n int) testReply {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	for {
+		var reply testReply
+		err := c.Call(ctx, "Peer.Identify", n, &reply)
+		if err == nil {
+			return reply
+		}
+		if ctx.Err() != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Millisecond)
+	}
 }
 
 // TestCallToPeerThatReadsNothingTimesOut guards against a call that outlives its deadline
