TestOddHeartbeatLosesRequests: wait until both nodes serve the target

Cause: traced in the test's logs. The test waited for a response through the other node only; the table of the target's own node came 0.1 s later. The odd heartbeats were all rejected. Change: the test begins when both nodes serve the target. Its checks are the same.

--- a/stand/starter/entries_integration_test.go
+++ b/stand/starter/entries_integration_test.go
@@ -42,10 +42,11 @@
 	m.start(4, "node.yaml", true)
 	is.NoErr(WaitUntil(t.Context(), readyTimeout, "first document accepted", func() bool { return m.putDocument(0, "r0", platformDocument(3, 1000)) == 200 }))
 	target := m.answer(is)
-	is.NoErr(WaitUntil(t.Context(), readyTimeout, "response through the other node", func() bool {
+	is.NoErr(WaitUntil(t.Context(), readyTimeout, "responses through both nodes", func() bool {
 		_ = m.sendHeartbeat(3, 1, "ready", target)
-		status, _ := m.sendRequest(4, "id-0")
-		return status == 200
+		own, _ := m.sendRequest(3, "id-0")
+		other, _ := m.sendRequest(4, "id-0")
+		return own == 200 && other == 200
 	}))
 	sequence := 1
 	for n, field := range oddHeartbeatFields {
