Log what targets state about themselves: rate limits and that they leave

The translators now return them as a Notice, strictly parsed (a limit with sign, exponent, two values or no number is logged and ignored), from the header of a response that is to the request that waits for it. The owner node logs each change of a limit with its request, the one before, its age, and once a second the requests that a limited target got, by entry node. No decision uses any of this yet; no play changes by it.

--- a/connection/acceptor/exchange.go
+++ b/connection/acceptor/exchange.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"net"
 	"sync"
 	"time"
 
@@ -32,6 +33,15 @@
 // connection ends.
 func (x *Exchange) Context() context.Context { return x.ctx }
 
+// RemoteHost returns the IP address of the caller.
+func (x *Exchange) RemoteHost() string {
+	host, _, err := net.SplitHostPort(x.conn.nc.RemoteAddr().String())
+	if err != nil {
+		return ""
+	}
+	return host
+}
+
 // EarlierResponsesSent returns a channel that is closed when every earlier response
 // on the connection is written. A request that must not run twice waits for it, since
 // a caller resends the requests that follow a response which closes the connection.
--- a/connection/registrar/target.go
+++ b/connection/registrar/target.go
@@ -42,6 +42,8 @@
 	mu       sync.Mutex
 	averages map[string]routeAverages // averages is keyed by route.
 	inFlight tracker.InFlight
+	limit    statedLimit
+	arrivals Arrivals // arrivals counts the requests since its start for the log.
 }
 
 // routeAverages holds the moving averages of a route's responses.
--- a/request/checker/checker.go
+++ b/request/checker/checker.go
@@ -49,6 +49,11 @@
 	HeaderOrder = "Hornbeam-Order"
 	// HeaderAttempt carries the id of the attempt that the owner node responds to.
 	HeaderAttempt = "Hornbeam-Attempt"
+	// HeaderRateLimit carries the requests a second that a target takes from all nodes
+	// together, a decimal number. It holds until a response of the target lacks it.
+	HeaderRateLimit = "Hornbeam-Rate-Limit"
+	// HeaderLeaving is 1 in each response of a target that is about to stop.
+	HeaderLeaving = "Hornbeam-Leaving"
 	// HeaderRequestID carries the request id to the target, which may echo it.
 	HeaderRequestID = "X-Request-Id"
 )
--- a/request/executor/executor.go
+++ b/request/executor/executor.go
@@ -169,6 +169,7 @@
 		return
 	}
 	h.Del(checker.HeaderOrder)
+	o.Entry = ex.RemoteHost()
 	// A failure to send is only counted: ex.Context() ends when the entry node
 	// disconnects.
 	stop := ex.SendInterimAfter(ackDelay, func(error) { interimFailures.Inc() })
@@ -294,6 +295,7 @@
 	checker.StripRequest(&req.Header)
 	x.Translator.WriteRequest(&req.Header, translator.ForwardMetadata{RequestID: o.RequestID, Target: t.Target, Origin: o.Origin, Deadline: o.Deadline})
 	start := time.Now()
+	x.countArrival(t, o, start)
 	end := t.BeginRequest(o.Route)
 	err := send()
 	end()
@@ -340,13 +342,18 @@
 
 // identity returns how the response to an order is told from the responses to other
 // requests on the same connection. Responses that are not to the order are recorded.
+// What the target states about itself is recorded as soon as the header has arrived: the
+// body may take long.
 func (x *Executor) identity(t *registrar.Target, o Order) forwarder.Identity {
+	sentAt := time.Now()
 	return forwarder.Identity{ID: o.RequestID, Match: func(h *fasthttp.ResponseHeader) forwarder.Match {
 		metadata := x.Translator.ReadResponse(h)
 		match := metadata.MatchRequest(o.RequestID)
 		if match == forwarder.MatchForeign || match == forwarder.MatchNone {
 			x.recordForeignResponse(t, o, h.StatusCode(), metadata)
+			return match
 		}
+		x.recordNotice(t, o, metadata, sentAt)
 		return match
 	}}
 }
--- a/request/executor/order.go
+++ b/request/executor/order.go
@@ -30,6 +30,10 @@
 	// NoWait means that the owner node rejects the request at once unless a slot
 	// is free and the response can meet the soft deadline.
 	NoWait bool
+
+	// Entry is the host of the entry node, for the log. The owner node takes it from the
+	// connection; it is empty for an order of its own.
+	Entry string
 }
 
 const (
--- a/request/translator/own.go
+++ b/request/translator/own.go
@@ -30,10 +30,13 @@
 	h.Set(checker.HeaderDeadline, strconv.FormatInt(o.Deadline.UnixMilli(), 10))
 }
 
-// ReadResponse returns the request id that the target echoed. The echo of the request id is optional, and
+// ReadResponse returns the request id that the target echoed, and its notice. The echo of the request id is optional, and
 // every response counts as verified.
 func (Own) ReadResponse(h *fasthttp.ResponseHeader) ResponseMetadata {
-	return ResponseMetadata{RequestID: string(h.Peek(checker.HeaderRequestID)), Verified: true}
+	return ResponseMetadata{
+		RequestID: string(h.Peek(checker.HeaderRequestID)), Verified: true,
+		Notice: ParseNotice(h.PeekAll(checker.HeaderRateLimit), h.PeekAll(checker.HeaderLeaving)),
+	}
 }
 
 // WriteRejection replaces resp by a response with a JSON body of outcome, reason and
--- a/request/translator/translator.go
+++ b/request/translator/translator.go
@@ -99,6 +99,9 @@
 	// did not run.
 	MeansNotRun bool
 	Verified    bool // Verified means that the response passed all checks that it is complete and the target's own.
+	// Notice is what the target states about itself. It is believed only in a response to
+	// the request that waits for it.
+	Notice Notice
 }
 
 // MatchRequest compares the response with the request that waits for it.
