Pace the requests to a target at the limit that it names

Cause: nothing acted on what targets state about themselves.

Its reports tell entry nodes the limit; their orders tell it back, so that an owner node that has restarted knows it before the target's first response. The balancer counts the wait for room.

--- a/connection/registrar/notice.go
+++ b/connection/registrar/notice.go
@@ -17,6 +17,9 @@
 const (
 	LearnedNothing      Learned = ""
 	LearnedFromResponse Learned = "response" // LearnedFromResponse means that this node read it in a response of the target.
+	// LearnedFromEntry means that an entry node knew it, and that this node has had no
+	// response of the target since it started.
+	LearnedFromEntry Learned = "entry"
 )
 
 // statedLimit is the rate limit of one incarnation of a target, as far as this node knows.
@@ -38,6 +41,15 @@
 	return statedLimit{limit: limit, learned: LearnedFromResponse, heardAt: now}
 }
 
+// withEntry returns the limit that is known after an entry node has sent the one that it
+// knows. It is used until the first response of the target; of several, the lowest is.
+func (s statedLimit) withEntry(limit translator.RateLimit) statedLimit {
+	if s.learned == LearnedFromResponse || !limit.Below(s.limit) {
+		return s
+	}
+	return statedLimit{limit: limit, learned: LearnedFromEntry}
+}
+
 // LimitChange is a change of the rate limit that this node knows of a target.
 type LimitChange struct {
 	Was, Is    translator.RateLimit
@@ -51,15 +63,57 @@
 func (t *Target) RecordLimit(limit translator.RateLimit, sentAt, now time.Time) (LimitChange, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.setLimit(t.limit.withResponse(limit, sentAt, now), now)
+}
+
+// AdoptLimit records the rate limit that an entry node knows. It returns the change and
+// true if another limit holds from now on.
+func (t *Target) AdoptLimit(limit translator.RateLimit, now time.Time) (LimitChange, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.setLimit(t.limit.withEntry(limit), now)
+}
+
+// setLimit stores the known limit and applies it to the limiter. t.mu is held.
+func (t *Target) setLimit(s statedLimit, now time.Time) (LimitChange, bool) {
 	old := t.limit
-	t.limit = old.withResponse(limit, sentAt, now)
-	change := LimitChange{Was: old.limit, Is: t.limit.limit, Learned: t.limit.learned, WasLearned: old.learned}
+	t.limit = s
+	if old.limit == s.limit {
+		return LimitChange{}, false
+	}
+	if s.limit.Named {
+		t.Limiter.SetRateLimit(s.limit.PerSecond)
+	} else {
+		t.Limiter.ClearRateLimit()
+	}
+	change := LimitChange{Was: old.limit, Is: s.limit, Learned: s.learned, WasLearned: old.learned}
 	if !old.heardAt.IsZero() {
 		change.HeardAgo = now.Sub(old.heardAt)
 	}
-	return change, old.limit != t.limit.limit
+	return change, true
 }
 
+// inheritLimit takes the limit over from the same incarnation of the target, which has
+// announced another description of itself. The target is not in use yet.
+func (t *Target) inheritLimit(old *Target, now time.Time) {
+	if old == nil || old.StartedAt == 0 || old.StartedAt != t.StartedAt {
+		return
+	}
+	old.mu.Lock()
+	s := old.limit
+	old.mu.Unlock()
+	t.setLimit(s, now)
+}
+
+// State returns what this node knows of the target from its own statements.
+func (t *Target) State() translator.TargetState {
+	return translator.TargetState{Target: t.Target, StartedAt: t.StartedAt, RateLimit: t.RateLimit(), Leaving: t.statesLeaving.Load()}
+}
+
+// RecordLeaving records that the target states that it leaves. It returns true for the
+// first statement.
+func (t *Target) RecordLeaving() bool { return !t.statesLeaving.Swap(true) }
+
 // RateLimit returns the rate limit that this node knows of the target.
 func (t *Target) RateLimit() translator.RateLimit {
 	t.mu.Lock()
--- a/connection/registrar/notice_test.go
+++ b/connection/registrar/notice_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/hornbeamrack/hornbeamrack/request/limiter"
 	"github.com/hornbeamrack/hornbeamrack/request/translator"
 )
 
@@ -41,7 +42,7 @@
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			is := is.New(t)
-			target := &Target{}
+			target := &Target{Limiter: &limiter.Limiter{Slots: 4}}
 			for _, r := range row.responses {
 				target.RecordLimit(r.limit, at(r.sent), at(r.receivedAt))
 			}
@@ -49,3 +50,44 @@
 		})
 	}
 }
+
+// TestNewDescriptionLosesLimit guards against an incarnation of a target whose rate limit
+// is forgotten when it announces another description of itself, and against a limit that
+// holds for the next incarnation.
+func TestNewDescriptionLosesLimit(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	r := &Registrar{Now: func() time.Time { return now }}
+	find := func() *Target {
+		found, ok := r.Find("t1")
+		is.True(ok)
+		return found
+	}
+	is.NoErr(r.Announce(target("t1", 100, 1)))
+	find().RecordLimit(limitOf(5), now, now)
+	changed := target("t1", 100, 2)
+	changed.Slots++
+	is.NoErr(r.Announce(changed))
+	is.Equal(find().Slots, changed.Slots)
+	is.Equal(find().RateLimit(), limitOf(5))
+	is.NoErr(r.Announce(target("t1", 200, 1)))
+	is.Equal(find().RateLimit(), translator.RateLimit{})
+}
+
+// TestEntryNodeEndsLimit guards against the knowledge of an entry node that replaces what
+// the target said itself, and against the higher one of two.
+func TestEntryNodeEndsLimit(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	found := &Target{Limiter: &limiter.Limiter{Slots: 4}}
+	found.AdoptLimit(limitOf(5), now)
+	found.AdoptLimit(limitOf(9), now)
+	found.AdoptLimit(translator.RateLimit{}, now)
+	is.Equal(found.RateLimit(), limitOf(5))
+	found.AdoptLimit(limitOf(3), now)
+	is.Equal(found.RateLimit(), limitOf(3))
+	found.RecordLimit(limitOf(8), now, now)
+	is.Equal(found.RateLimit(), limitOf(8))
+	found.AdoptLimit(limitOf(1), now)
+	is.Equal(found.RateLimit(), limitOf(8))
+}
--- a/connection/registrar/registrar.go
+++ b/connection/registrar/registrar.go
@@ -197,7 +197,7 @@
 			old.Limiter.Close()
 		}
 		r.stopPredecessors(a)
-		r.addTarget(a)
+		r.addTarget(a, old)
 	}
 	if a.Leaving {
 		r.recordDeparture(a.Target, a.StartedAt)
@@ -233,8 +233,9 @@
 	}
 }
 
-// addTarget stores a target with a new limiter and forwarder. r.mu is held.
-func (r *Registrar) addTarget(a Announcement) {
+// addTarget stores a target with a new limiter and forwarder in place of old, which may be
+// nil. r.mu is held.
+func (r *Registrar) addTarget(a Announcement, old *Target) {
 	if r.targets == nil {
 		r.targets = map[string]*Target{}
 	}
@@ -249,6 +250,7 @@
 		expiresAt:    r.now().Add(LeaseDuration),
 	}
 	t.coldUntil.Store(a.ColdUntil)
+	t.inheritLimit(old, r.now())
 	r.targets[a.Target] = t
 	r.logTarget("target announced", t, "slots", a.Slots, "sequence", a.Sequence)
 	r.notifyChange()
--- a/connection/registrar/target.go
+++ b/connection/registrar/target.go
@@ -38,6 +38,8 @@
 	responses atomic.Int64
 	crashed   atomic.Bool
 	coldUntil atomic.Pointer[time.Time]
+	// statesLeaving means that a response of the target stated that it leaves.
+	statesLeaving atomic.Bool
 
 	mu       sync.Mutex
 	averages map[string]routeAverages // averages is keyed by route.
@@ -103,7 +105,10 @@
 // LoadReport returns the load report for a further request like r: the number of
 // requests, the expected wait in the queue and the processing time.
 func (t *Target) LoadReport(r limiter.Request) translator.LoadReport {
-	return translator.LoadReport{Valid: true, RequestCount: t.Limiter.RequestCount(), ExpectedWait: t.Limiter.ExpectedWait(r), ProcessingTime: r.ProcessingTime}
+	return translator.LoadReport{
+		Valid: true, RequestCount: t.Limiter.RequestCount(), ExpectedWait: t.Limiter.ExpectedWait(r), ProcessingTime: r.ProcessingTime,
+		RateLimited: t.RateLimit().Named,
+	}
 }
 
 // AliveAfterDisconnect reports whether the target still runs after a connection to it
--- a/request/checker/checker.go
+++ b/request/checker/checker.go
@@ -43,6 +43,9 @@
 	HeaderServed = "Hornbeam-Served"
 	// HeaderLoad carries the load report of the owner node.
 	HeaderLoad = "Hornbeam-Load"
+	// HeaderTargetState carries what the sending node knows of targets beside the owner
+	// node from their own statements.
+	HeaderTargetState = "Hornbeam-Target-State"
 	// HeaderDetail carries a text on why the owner node has no response of a target.
 	HeaderDetail = "Hornbeam-Detail"
 	// HeaderOrder carries the order that the entry node sends to the owner node.
@@ -172,7 +175,7 @@
 	for _, name := range hopByHop {
 		h.Del(name)
 	}
-	for _, name := range []string{HeaderOutcome, HeaderReason, HeaderServed, HeaderOrder, HeaderLoad, HeaderAttempt, HeaderDetail} {
+	for _, name := range []string{HeaderOutcome, HeaderReason, HeaderServed, HeaderOrder, HeaderLoad, HeaderTargetState, HeaderAttempt, HeaderDetail} {
 		h.Del(name)
 	}
 }
--- a/request/executor/executor.go
+++ b/request/executor/executor.go
@@ -79,6 +79,12 @@
 	// FindServing returns the target to forward a request to, given the target name,
 	// service and version in its order. It returns false if there is none.
 	FindServing(name, service, version string) (*registrar.Target, bool)
+	// Find returns the target with the given name, also if it is leaving.
+	Find(name string) (*registrar.Target, bool)
+	// MarkLeaving stops new requests to the incarnation of a target that started at
+	// startedAt, in Unix milliseconds; 0 means the current one. It returns an error if the
+	// target is not registered.
+	MarkLeaving(name string, startedAt int64) error
 }
 
 // ObservationProvider receives the results of requests at the targets of this host, as
@@ -170,6 +176,8 @@
 	}
 	h.Del(checker.HeaderOrder)
 	o.Entry = ex.RemoteHost()
+	x.adoptStates(decodeStates(string(h.Peek(checker.HeaderTargetState))), o)
+	h.Del(checker.HeaderTargetState)
 	// A failure to send is only counted: ex.Context() ends when the entry node
 	// disconnects.
 	stop := ex.SendInterimAfter(ackDelay, func(error) { interimFailures.Inc() })
@@ -185,13 +193,14 @@
 // wait too long for the link.
 func (x *Executor) executeRemote(ex *acceptor.Exchange, o Order) translator.Report {
 	size := 0
+	state := translator.TargetState{}
 	if t, ok := x.Targets.FindServing(o.Target, o.Service, o.Version); ok {
-		size = t.ResponseSize(o.Route)
+		size, state = t.ResponseSize(o.Route), t.State()
 	}
 	if wait := x.Link.Delay(time.Now()); size >= largeResponseBytes && wait > linkDelayLimit(o, time.Now()) {
 		linkRejections.Inc()
 		report := translator.NotRun(translator.ReasonLimit)
-		report.Load = translator.LoadReport{Valid: true, ExpectedWait: wait}
+		report.Load, report.State = translator.LoadReport{Valid: true, ExpectedWait: wait}, state
 		report.Detail = "the network link of this host is busy for " + wait.Round(time.Millisecond).String()
 		translator.Own{}.WriteRejection(&ex.Response, translator.Rejection{Report: report, Detail: report.Detail})
 		return report
@@ -229,13 +238,20 @@
 }
 
 // execute does the steps of Execute from finding the target to releasing the
-// slot. It returns the report and the detail for the response.
+// slot. It returns the report, with the target's state, and the detail for the response.
 func (x *Executor) execute(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, o Order, done func()) (translator.Report, string) {
 	t, ok := x.Targets.FindServing(o.Target, o.Service, o.Version)
 	if !ok {
 		done()
 		return translator.NotRun(translator.ReasonNoTarget), "no such target on this host"
 	}
+	report, detail := x.executeAt(ctx, req, resp, t, o, done)
+	report.State = t.State()
+	return report, detail
+}
+
+// executeAt does the steps of Execute after finding the target.
+func (x *Executor) executeAt(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, t *registrar.Target, o Order, done func()) (translator.Report, string) {
 	slot, err := t.Limiter.Acquire(ctx, limiterRequest(t, o))
 	if err != nil {
 		done()
--- a/request/executor/notice.go
+++ b/request/executor/notice.go
@@ -71,11 +71,30 @@
 // recordLeaving records that a target states that it leaves.
 func (x *Executor) recordLeaving(t *registrar.Target, o Order) {
 	leavingResponsesTotal.Inc()
-	if x.Logger.AllowLine(msgLeavingStated) {
+	if t.RecordLeaving() && x.Logger.AllowLine(msgLeavingStated) {
 		x.Logger.Info(msgLeavingStated, "id", o.RequestID, "target", t.Target, "startedAt", t.StartedAt)
 	}
 }
 
+// adoptStates records what an entry node knows of targets beside this node. This node may
+// have restarted and had no response of them since. A state names its incarnation: one
+// without a start time could hold for a later one and is ignored.
+func (x *Executor) adoptStates(states []translator.TargetState, o Order) {
+	for _, s := range states {
+		if s.StartedAt == 0 {
+			continue
+		}
+		t, ok := x.Targets.Find(s.Target)
+		known := ok && t.StartedAt == s.StartedAt
+		if !known || !s.RateLimit.Named {
+			continue
+		}
+		if c, changed := t.AdoptLimit(s.RateLimit, time.Now()); changed {
+			x.logLimitChange(t, c, o.RequestID, 0)
+		}
+	}
+}
+
 // countArrival counts a request that is forwarded to a target. It logs the numbers of
 // about a second while the target has a rate limit.
 func (x *Executor) countArrival(t *registrar.Target, o Order, now time.Time) {
--- a/request/executor/report.go
+++ b/request/executor/report.go
@@ -33,19 +33,28 @@
 	if r.Load.Valid {
 		h.Set(checker.HeaderLoad, encodeLoad(r.Load))
 	}
+	if !r.State.IsPlain() {
+		h.Set(checker.HeaderTargetState, EncodeStates([]translator.TargetState{r.State}))
+	}
 }
 
 // ReadReport returns the owner node's report in the headers of its response. A
-// load report that cannot be decoded is not Valid.
+// load report that cannot be decoded is not Valid, and a target state that cannot be
+// decoded is zero.
 func ReadReport(h *fasthttp.ResponseHeader) translator.Report {
 	// A detail that cannot be decoded is dropped; the reason suffices.
 	detail, _ := url.QueryUnescape(string(h.Peek(checker.HeaderDetail)))
-	return translator.Report{
+	r := translator.Report{
 		Detail:  detail,
 		Outcome: forwarder.Outcome(h.Peek(checker.HeaderOutcome)),
 		Reason:  translator.Reason(h.Peek(checker.HeaderReason)),
 		Load:    decodeLoad(string(h.Peek(checker.HeaderLoad))),
 	}
+	if states := decodeStates(string(h.Peek(checker.HeaderTargetState))); len(states) > 0 {
+		r.State = states[0]
+	}
+	r.Load.RateLimited = r.State.RateLimit.Named
+	return r
 }
 
 // encodeLoad returns a load report as one header value, with times in
--- a/request/limiter/limiter.go
+++ b/request/limiter/limiter.go
@@ -1,5 +1,5 @@
 // Package limiter bounds the number of requests that a target processes
-// concurrently.
+// concurrently, and the number that it gets a second if it names a limit on that.
 //
 // A Limiter has a fixed number of slots and a queue, whose order package queuer
 // defines. A request waits for a slot until its queue deadline at the latest; one
@@ -8,6 +8,10 @@
 // reserver leaves to them, and wait in the queue even while other slots are free.
 // A slot that was assigned to a request is never revoked.
 //
+// While the target names a rate limit, package pacer states when the next slot may be
+// assigned. Waiting requests get slots in the order of the queue, and those that the
+// limit leaves no room for before their queue deadline are rejected at once.
+//
 // # Usage
 //
 //	l := &limiter.Limiter{Slots: 10, QueueLimit: 20}
@@ -25,6 +29,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/hornbeamrack/hornbeamrack/request/detector"
+	"github.com/hornbeamrack/hornbeamrack/request/pacer"
 	"github.com/hornbeamrack/hornbeamrack/request/queuer"
 	"github.com/hornbeamrack/hornbeamrack/request/reserver"
 )
@@ -34,12 +39,13 @@
 
 // The kinds of limiter errors.
 const (
-	KindFull         Kind = "full"     // KindFull means that no slot is free for a NoWait request.
-	KindShed         Kind = "shed"     // KindShed means that the request was dropped from the queue in favour of others.
-	KindDeadline     Kind = "deadline" // KindDeadline means that the queue deadline passed before a slot became free.
-	KindExpectedLate Kind = "hopeless" // KindExpectedLate means that no slot, or no response, is expected in time.
-	KindClosed       Kind = "closed"   // KindClosed means that the target accepts no new requests.
-	KindCallerGone   Kind = "hungUp"   // KindCallerGone means that the context ended because the caller disconnected.
+	KindFull         Kind = "full"      // KindFull means that no slot is free for a NoWait request.
+	KindRateLimit    Kind = "rateLimit" // KindRateLimit means that the target's rate limit leaves no room in time.
+	KindShed         Kind = "shed"      // KindShed means that the request was dropped from the queue in favour of others.
+	KindDeadline     Kind = "deadline"  // KindDeadline means that the queue deadline passed before a slot became free.
+	KindExpectedLate Kind = "hopeless"  // KindExpectedLate means that no slot, or no response, is expected in time.
+	KindClosed       Kind = "closed"    // KindClosed means that the target accepts no new requests.
+	KindCallerGone   Kind = "hungUp"    // KindCallerGone means that the context ended because the caller disconnected.
 )
 
 // Error is the only error type of this package.
@@ -111,6 +117,7 @@
 	lastID             uint64
 	closed             bool
 	reserve            reserver.Reserve
+	pace               pacer.Pacer
 	overload           detector.Overload
 	meanProcessingTime time.Duration // meanProcessingTime is the moving average over requests that could meet their soft deadline.
 	lateSlots          int           // lateSlots is the number of used slots that were assigned as spare slots to late requests.
@@ -164,6 +171,9 @@
 	}
 	now := time.Now()
 	l.updateOverload(now)
+	if l.pace.Limited() {
+		l.serveQueue(now) // The requests that wait come first.
+	}
 	if r.NoWait && r.expectedLate(now) {
 		return reject(KindExpectedLate, "the expected processing time of %s ends after the soft deadline", r.ProcessingTime.Round(time.Millisecond))
 	}
@@ -174,6 +184,9 @@
 	if l.slotAvailable(now, late) {
 		return 0, nil, waitResult{slot: l.assignOnArrival(now, r)}
 	}
+	if r.NoWait && l.slotFree(now, late) {
+		return reject(KindRateLimit, "the target's rate limit leaves no room for %s", l.pace.Wait(now, l.queue.Len()).Round(time.Millisecond))
+	}
 	if r.NoWait {
 		return reject(KindFull, "no slot is free: %d requests running, %d waiting", l.usedSlots, l.queue.Len())
 	}
@@ -198,6 +211,7 @@
 	if dropped, full := l.queue.Add(now, item); full {
 		l.endWait(dropped.ID, waitResult{err: &Error{"acquire", KindShed, errors.Errorf("the queue is full: %d requests running, %d waiting, and others are served first", l.usedSlots, l.queue.Len())}})
 	}
+	l.rejectUnreachable(now)
 	l.scheduleRecheck()
 	return l.lastID, ready, waitResult{}
 }
@@ -212,9 +226,45 @@
 // slotAvailable reports whether a slot can be assigned now; late is the result of
 // spareSlotsOnly for the request.
 func (l *Limiter) slotAvailable(now time.Time, late bool) bool {
+	return l.pace.Ready(now) && l.slotFree(now, late)
+}
+
+// slotFree reports whether the request may have one of the slots that are not in use,
+// apart from the rate limit.
+func (l *Limiter) slotFree(now time.Time, late bool) bool {
 	return l.usedSlots < l.Slots && (!late || l.lateSlots < l.spareSlots(now))
 }
 
+// SetRateLimit sets the number of requests a second that the target takes.
+func (l *Limiter) SetRateLimit(perSecond float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.pace.SetLimit(now, perSecond)
+	l.rejectUnreachable(now)
+	l.serveQueue(now)
+}
+
+// ClearRateLimit removes the rate limit.
+func (l *Limiter) ClearRateLimit() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pace.ClearLimit()
+	l.serveQueue(time.Now())
+}
+
+// rejectUnreachable rejects the waiting requests that the rate limit leaves no room for
+// before their queue deadlines.
+func (l *Limiter) rejectUnreachable(now time.Time) {
+	if !l.pace.Limited() {
+		return
+	}
+	unreachable := l.queue.RemoveUnreachable(now, func(ahead int) time.Time { return now.Add(l.pace.Wait(now, ahead)) })
+	for _, item := range unreachable {
+		l.endWait(item.ID, waitResult{err: &Error{"acquire", KindRateLimit, errors.Errorf("the target's rate limit leaves no room before the queue deadline, and %d other requests are served first", l.queue.Len())}})
+	}
+}
+
 // assignOnArrival assigns a slot to a request that has not waited.
 func (l *Limiter) assignOnArrival(now time.Time, r Request) Slot {
 	if !r.isLate(now) {
@@ -242,6 +292,7 @@
 // assignSlot marks a slot as used and returns it.
 func (l *Limiter) assignSlot(now time.Time, expected time.Duration, late bool) Slot {
 	l.usedSlots++
+	l.pace.Take(now)
 	if late {
 		l.lateSlots++
 	}
@@ -284,13 +335,18 @@
 
 // scheduleRecheck sets a timer that serves the queue again if requests wait while
 // slots are free. Without it late requests would wait until their queue deadline when
-// the requests for which those slots are reserved do not arrive.
+// the requests for which those slots are reserved do not arrive, and all requests when a
+// rate limit held back the last one.
 func (l *Limiter) scheduleRecheck() {
 	if l.recheckScheduled || l.queue.Len() == 0 || l.usedSlots >= l.Slots {
 		return
 	}
 	l.recheckScheduled = true
-	time.AfterFunc(recheckInterval, func() {
+	interval := recheckInterval
+	if wait := l.pace.Wait(time.Now(), 0); wait > 0 {
+		interval = min(interval, wait)
+	}
+	time.AfterFunc(interval, func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.recheckScheduled = false
@@ -303,11 +359,21 @@
 	return queuer.Item{ID: id, Rank: r.Rank, ProcessingTime: r.ProcessingTime, SoftDeadline: r.SoftDeadline, QueueDeadline: r.QueueDeadline}
 }
 
-// expectedWait returns how long a new request is expected to wait: for the requests
-// that are served before it, and until one of the running requests ends.
+// expectedWait returns how long a new request is expected to wait: until a slot is free,
+// and until the rate limit leaves room after the requests that are served before it.
 func (l *Limiter) expectedWait(now time.Time, r Request) time.Duration {
+	slotWait := l.expectedSlotWait(now, r)
+	if !l.pace.Limited() {
+		return slotWait
+	}
+	return max(slotWait, l.pace.Wait(now, l.queue.CountAhead(now, queueItem(l.lastID+1, r))))
+}
+
+// expectedSlotWait returns how long a new request is expected to wait for a slot: for the
+// requests that are served before it, and until one of the running requests ends.
+func (l *Limiter) expectedSlotWait(now time.Time, r Request) time.Duration {
 	late := l.spareSlotsOnly(r, now)
-	if l.slotAvailable(now, late) {
+	if l.slotFree(now, late) {
 		return 0
 	}
 	slots := l.Slots
--- a/request/queuer/queuer.go
+++ b/request/queuer/queuer.go
@@ -197,6 +197,37 @@
 	return items
 }
 
+// CountAhead returns the number of waiting requests that are served before another one,
+// which may be waiting too.
+func (q *Queue) CountAhead(now time.Time, item Item) int {
+	n := 0
+	for _, waiting := range q.items {
+		if waiting.ID != item.ID && !servedBefore(item, waiting, now, q.Overloaded) {
+			n++
+		}
+	}
+	return n
+}
+
+// RemoveUnreachable removes and returns the requests that would be served after their
+// queue deadlines. servedAt returns when a request with the given number of others before
+// it is served; a removed request is before no other.
+func (q *Queue) RemoveUnreachable(now time.Time, servedAt func(ahead int) time.Time) []Item {
+	inOrder := slices.Clone(q.items)
+	slices.SortFunc(inOrder, func(a, b Item) int { return q.CountAhead(now, a) - q.CountAhead(now, b) })
+	var removed []Item
+	ahead := 0
+	for _, item := range inOrder {
+		if servedAt(ahead).After(item.QueueDeadline) {
+			removed = append(removed, item)
+			q.Remove(item.ID)
+			continue
+		}
+		ahead++
+	}
+	return removed
+}
+
 // ProcessingTimeAhead returns the sum of the processing times of the waiting requests
 // that are served before a new one.
 func (q *Queue) ProcessingTimeAhead(now time.Time, added Item) time.Duration {
--- a/request/receiver/log.go
+++ b/request/receiver/log.go
@@ -10,13 +10,15 @@
 )
 
 // The messages of the log lines: a target responded, the request ended without a
-// target's response, an attempt failed that may be followed by another, and a request
-// matched no route of a table. Each message has its own rate limit.
+// target's response, an attempt failed that may be followed by another, a request
+// matched no route of a table, and an owner node reported another state of a target than
+// before. Each message has its own rate limit.
 const (
 	msgCompleted = "request completed"
 	msgRejected  = "request refused"
 	msgRetried   = "request attempt failed"
 	msgUnmatched = "request without a route refused"
+	msgState     = "state of a target learned"
 )
 
 // logFields returns the fields that every log line on a request has.
@@ -65,6 +67,14 @@
 	}
 }
 
+// logState logs what an owner node reported of a target's statements about itself.
+func (v *Receiver) logState(s *requestState, c dispatcher.Attempt, state translator.TargetState) {
+	if v.Logger.AllowLine(msgState) {
+		v.Logger.Info(msgState, "id", s.caller.RequestID, "node", c.Node, "target", state.Target, "startedAt", state.StartedAt,
+			"named", state.RateLimit.Named, "perSecond", state.RateLimit.PerSecond, "leaving", state.Leaving)
+	}
+}
+
 // logRetry logs a failed attempt after which another one may follow. detail is its
 // cause in words.
 func (v *Receiver) logRetry(s *requestState, c dispatcher.Attempt, r translator.Report, detail string) {
--- a/request/receiver/receiver.go
+++ b/request/receiver/receiver.go
@@ -32,6 +32,7 @@
 	"github.com/hornbeamrack/hornbeamrack/request/estimator"
 	"github.com/hornbeamrack/hornbeamrack/request/executor"
 	"github.com/hornbeamrack/hornbeamrack/request/forwarder"
+	"github.com/hornbeamrack/hornbeamrack/request/keeper"
 	"github.com/hornbeamrack/hornbeamrack/request/router"
 	"github.com/hornbeamrack/hornbeamrack/request/translator"
 	"github.com/hornbeamrack/hornbeamrack/version/compiler"
@@ -108,6 +109,7 @@
 	Balancer   router.Balancer
 	Logger     *logger.AsyncLogger // Logger may be nil.
 
+	states        keeper.Keeper // states holds what targets have stated about themselves.
 	origin        atomic.Pointer[string]
 	draining      atomic.Bool
 	softDeadlines estimator.SoftDeadlines
--- a/request/receiver/request.go
+++ b/request/receiver/request.go
@@ -96,7 +96,7 @@
 		return v.finish(s, translator.NotRun(translator.ReasonCallerGone), "the caller disconnected before the earlier responses on its connection were written")
 	}
 	report, detail := translator.NotRun(translator.ReasonNoTarget), "no target of this service is available"
-	s.dispatcher = dispatcher.Dispatcher{Balancer: &v.Balancer, Query: s.query()}
+	s.dispatcher = dispatcher.Dispatcher{Balancer: &v.Balancer, Query: v.query(s)}
 	for {
 		o, ok := s.dispatcher.Next()
 		if !ok && len(s.tried) > 0 && report.Reason == translator.ReasonNoTarget && v.refreshTable(s) {
@@ -126,7 +126,7 @@
 }
 
 // query returns the criteria for the selection of endpoints.
-func (s *requestState) query() router.Query {
+func (v *Receiver) query(s *requestState) router.Query {
 	return router.Query{Service: s.service, Version: s.version, Route: s.routeName(), LatencyObjective: s.route.EffectiveLatencyObjective(), LargeResponse: s.route.Bulk || s.route.Stream}
 }
 
@@ -143,7 +143,7 @@
 	s.table = v.Tables.Table()
 	if service := s.table.Service(s.service.Name); service != nil {
 		s.service = service
-		s.dispatcher.Query = s.query()
+		s.dispatcher.Query = v.query(s)
 		s.dispatcher.Reset()
 	}
 	return true
@@ -255,6 +255,7 @@
 // response or a failure, and evidence on the target version during a move.
 func (v *Receiver) recordAttempt(s *requestState, c dispatcher.Attempt, r translator.Report) {
 	v.Balancer.UpdateLoad(c.Endpoint, s.routeName(), r.Load)
+	v.recordState(s, c, r)
 	switch {
 	case r.Outcome == forwarder.OutcomeRan && !s.targetFailed():
 		v.Balancer.RecordResponse(c.EndpointKey, s.routeName(), r.Load, bodyBytes(&s.exchange.Response))
@@ -270,6 +271,18 @@
 	v.Breaker.RecordOutcome(evidence)
 }
 
+// recordState stores what the target of an attempt has stated about itself, as its owner
+// node reported it. A valid report without a state comes from a target that states nothing.
+func (v *Receiver) recordState(s *requestState, c dispatcher.Attempt, r translator.Report) {
+	state := r.State
+	if state.Target == "" && r.Load.Valid {
+		state = translator.TargetState{Target: c.Target, StartedAt: c.StartedAt}
+	}
+	if v.states.Record(c.Node, state, time.Now()) {
+		v.logState(s, c, state)
+	}
+}
+
 // bodyBytes returns the size in bytes of a response body. For a streamed body it is
 // the declared length, 0 when there is none.
 func bodyBytes(resp *fasthttp.Response) int {
@@ -297,6 +310,10 @@
 	req, resp := &s.exchange.Request, &s.exchange.Response
 	req.Header.Set(checker.HeaderOrder, o.Encode(time.Now()))
 	defer req.Header.Del(checker.HeaderOrder)
+	if states := v.states.StatesOf(c.Node); len(states) > 0 {
+		req.Header.Set(checker.HeaderTargetState, executor.EncodeStates(states))
+		defer req.Header.Del(checker.HeaderTargetState)
+	}
 	var err error
 	if o.Stream && !o.Unsafe {
 		err = v.peer(c.Address).Stream(s.exchange.Context(), req, resp, o.Deadline.Add(ownerResponseGrace), ownerIdentity(o), done)
--- a/request/router/router.go
+++ b/request/router/router.go
@@ -111,6 +111,7 @@
 	slowness          float64   // slowness is the processing time relative to the average of the route, 0 while unknown.
 	slownessUpdatedAt time.Time // slownessUpdatedAt is when slowness was last set.
 	otherRequests     float64   // otherRequests is the number of requests at the endpoint that other nodes sent.
+	roomAt            time.Time // roomAt is when the rate limit of the target is expected to leave room for a request.
 	linkFreeAt        time.Time // linkFreeAt is when the link of the endpoint's host is expected to be free.
 	reportedAt        time.Time // reportedAt is when the last load report was received.
 	penalisedUntil    time.Time // penalisedUntil is the moment until which the endpoint is avoided.
@@ -159,7 +160,10 @@
 	LatencyObjective time.Duration         // LatencyObjective is the time within which a response keeps most of its value.
 	Excluded         []applier.EndpointKey // Excluded endpoints are not selected.
 	LargeResponse    bool                  // LargeResponse means that the response is large, also while its average size is unknown.
-	Explore          bool                  // Explore prefers an endpoint that this node has not used yet, if there is one.
+	// Unusable reports whether an endpoint must not be selected although it is in the
+	// table; it may be nil.
+	Unusable func(applier.Endpoint) bool
+	Explore  bool // Explore prefers an endpoint that this node has not used yet, if there is one.
 }
 
 // SelectService returns the name of the next service of a route. Over many requests
@@ -213,7 +217,7 @@
 	best, considered := Selection{Cost: math.Inf(1)}, 0
 	consider := func(list []applier.Endpoint, roundTrip time.Duration, extraLoss float64) {
 		for _, e := range list {
-			if slices.Contains(q.Excluded, e.EndpointKey) {
+			if slices.Contains(q.Excluded, e.EndpointKey) || q.Unusable != nil && q.Unusable(e) {
 				continue
 			}
 			c, latency := b.estimate(e, average, now)
@@ -253,6 +257,7 @@
 	if ahead := busy + 1 - slots; ahead > 0 {
 		c.ExpectedWait = time.Duration(ahead / slots * float64(c.ProcessingTime))
 	}
+	c.ExpectedWait = max(c.ExpectedWait, l.roomAt.Sub(now))
 	c.ExpectedWait += max(l.linkFreeAt.Sub(now), 0)
 	// A target with many idle slots responds no faster than one with few, but it has
 	// room for requests that other nodes send in the meantime.
@@ -301,6 +306,10 @@
 	l.otherRequests = max(0, float64(w.RequestCount-l.inFlight.Len()))
 	l.reportedAt = time.Now()
 	l.linkFreeAt = l.reportedAt.Add(w.LinkBacklog)
+	l.roomAt = time.Time{}
+	if w.RateLimited {
+		l.roomAt = l.reportedAt.Add(w.ExpectedWait)
+	}
 	if w.ProcessingTime <= 0 {
 		return
 	}
--- a/request/translator/notice.go
+++ b/request/translator/notice.go
@@ -38,6 +38,19 @@
 	Err error
 }
 
+// TargetState is what a node knows of one incarnation of a target from the target's own
+// statements. Owner nodes send it to entry nodes, and entry nodes return it with their
+// orders: an owner node that has restarted knows nothing of its targets.
+type TargetState struct {
+	Target    string
+	StartedAt int64 // StartedAt is the start of the incarnation in Unix milliseconds, 0 if it is not known.
+	RateLimit RateLimit
+	Leaving   bool
+}
+
+// IsPlain reports whether the target has stated nothing that nodes must observe.
+func (s TargetState) IsPlain() bool { return !s.RateLimit.Named && !s.Leaving }
+
 // ParseNotice returns the notice in the values of the two headers that state a rate limit
 // and that a target leaves. A header may be repeated with the same value. A rate limit that
 // is not a decimal number without sign and exponent, or is given as two different numbers,
--- a/request/translator/own.go
+++ b/request/translator/own.go
@@ -55,10 +55,11 @@
 }
 
 // FinishResponse sets the outcome header for the caller and removes the headers that are
-// only for the entry node: load report, attempt and detail.
+// only for the entry node: load report, target state, attempt and detail.
 func (Own) FinishResponse(h *fasthttp.ResponseHeader, r Report) {
 	h.Set(checker.HeaderOutcome, string(r.Outcome))
 	h.Del(checker.HeaderLoad)
+	h.Del(checker.HeaderTargetState)
 	h.Del(checker.HeaderAttempt)
 	h.Del(checker.HeaderDetail)
 }
--- a/request/translator/translator.go
+++ b/request/translator/translator.go
@@ -55,6 +55,7 @@
 	RequestCount   int           // RequestCount is the number of requests at the target that run, or that wait and are served before a new one.
 	ExpectedWait   time.Duration // ExpectedWait is the time that a further request would wait for a slot.
 	ProcessingTime time.Duration // ProcessingTime is the processing time of requests of this route, 0 while unknown.
+	RateLimited    bool          // RateLimited means that ExpectedWait holds although slots are free, because of the target's rate limit.
 	LinkBacklog    time.Duration // LinkBacklog is the time that the host's network link needs for the responses that are already queued.
 }
 
@@ -65,7 +66,8 @@
 	Reason   Reason
 	Replayed bool // Replayed means that the response is the stored one of an earlier attempt.
 	Load     LoadReport
-	Detail   string // Detail is a text for people on why there is no response of a target.
+	State    TargetState // State is that of the target which the order reached, zero if the target is unknown.
+	Detail   string      // Detail is a text for people on why there is no response of a target.
 }
 
 // NotRun returns the report of a request that did not run.
