Send no request to a target that states that it leaves

A target that says so in its responses, but whose announcement is late or lost, got requests until its announcement: 256 in TestStatedLeaveIsIgnored later than 2 s after the first such response (DRAIN), with an owner node killed in between.

Change: the owner node closes the target at the first such response, which removes it from all tables; entry nodes that passed one on select that incarnation no more, and their orders tell an owner node that has restarted. It holds for the incarnation, by its start time.

--- a/request/executor/notice.go
+++ b/request/executor/notice.go
@@ -68,11 +68,19 @@
 	}
 }
 
-// recordLeaving records that a target states that it leaves.
+// recordLeaving records that a target states that it leaves, and stops new requests to it.
 func (x *Executor) recordLeaving(t *registrar.Target, o Order) {
 	leavingResponsesTotal.Inc()
-	if t.RecordLeaving() && x.Logger.AllowLine(msgLeavingStated) {
-		x.Logger.Info(msgLeavingStated, "id", o.RequestID, "target", t.Target, "startedAt", t.StartedAt)
+	if t.RecordLeaving() {
+		x.stopLeaving(t.Target, t.StartedAt, o.RequestID, registrar.LearnedFromResponse)
+	}
+}
+
+// stopLeaving stops new requests to a target that states that it leaves.
+func (x *Executor) stopLeaving(target string, startedAt int64, requestID string, learned registrar.Learned) {
+	err := x.Targets.MarkLeaving(target, startedAt)
+	if x.Logger.AllowLine(msgLeavingStated) {
+		x.Logger.Info(msgLeavingStated, "id", requestID, "target", target, "startedAt", startedAt, "learned", learned, "err", err)
 	}
 }
 
@@ -86,6 +94,9 @@
 		}
 		t, ok := x.Targets.Find(s.Target)
 		known := ok && t.StartedAt == s.StartedAt
+		if s.Leaving && (!ok || known && t.RecordLeaving()) {
+			x.stopLeaving(s.Target, s.StartedAt, o.RequestID, registrar.LearnedFromEntry)
+		}
 		if !known || !s.RateLimit.Named {
 			continue
 		}
--- a/request/receiver/request.go
+++ b/request/receiver/request.go
@@ -127,7 +127,7 @@
 
 // query returns the criteria for the selection of endpoints.
 func (v *Receiver) query(s *requestState) router.Query {
-	return router.Query{Service: s.service, Version: s.version, Route: s.routeName(), LatencyObjective: s.route.EffectiveLatencyObjective(), LargeResponse: s.route.Bulk || s.route.Stream}
+	return router.Query{Unusable: v.states.IsLeaving, Service: s.service, Version: s.version, Route: s.routeName(), LatencyObjective: s.route.EffectiveLatencyObjective(), LargeResponse: s.route.Bulk || s.route.Stream}
 }
 
 // refreshTable waits for a newer table when no target of the current one is
--- a/stand/starter/notice_integration_test.go
+++ b/stand/starter/notice_integration_test.go
@@ -218,6 +218,22 @@
 	}))
 }
 
+// TestStatedLeaveIsIgnored guards against requests to a target that states in its
+// responses that it leaves, sent later than 2 s after it first did so. Its heartbeats are
+// late and still say that it is ready, and the node beside it is killed and started.
+func TestStatedLeaveIsIgnored(t *testing.T) {
+	const drainTime = 2 * time.Second
+	is := is.New(t)
+	m, target := startNoticeMesh(t)
+	leavingAt := target.state(map[string]string{"Server-Leaving": "1"})
+	time.Sleep(time.Second)
+	m.restartNode(statingNode)
+	time.Sleep(3 * drainTime)
+	late := target.arrivalsFromOthers(leavingAt.Add(drainTime))
+	t.Logf("%d requests later than %s after the statement", len(late), drainTime)
+	is.Equal(len(late), 0)
+}
+
 // restartNode kills the process of a node and starts it again.
 func (m *platformMesh) restartNode(i int) {
 	m.t.Helper()
