--- a/connection/acceptor/endless_test.go
+++ b/connection/acceptor/endless_test.go
@@ -75,19 +75,24 @@
 	}})
 	defer close(blocked)
 	conn := dial(t, address, "")
+	is.NoErr(conn.SetDeadline(time.Time{})) // a gigabyte takes long on a busy machine
 	go func() { _, _ = io.Copy(io.Discard, conn) }()
+	ended := make(chan error, 1)
 	go func() {
 		head := fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", bodyBytes)
 		request := []byte(head + strings.Repeat("x", bodyBytes))
-		for err := error(nil); err == nil; {
+		err := error(nil)
+		for err == nil {
 			_, err = conn.Write(request)
 			sent.Add(bodyBytes)
 		}
+		ended <- err
 	}()
 	buffered := int64(-1)
 	for served.Load() < fastBytes || buffered != sent.Load()-served.Load() {
 		buffered = sent.Load() - served.Load()
 		time.Sleep(100 * time.Millisecond) // the caller keeps writing until the buffers are full
+		is.Equal(len(ended), 0)            // the connection is still open
 	}
 	t.Logf("%d KB are buffered", buffered>>10)
 	is.True(buffered <= 8<<20)
