Take no request later than half of the stop time in a planned stop

Cause: the receiver stopped taking requests in the last step of the stop, after it had waited up to 2.4 s for callers, up to 1 s for a control host to hear that the node leaves, and 0.4 s for other nodes: 3.8 s at the latest, not 3.0. In calm, with control hosts that reply, it was 3.0 s. Change: a timer of its own ends it at half of the stop time, whatever the other steps wait for, and requests that are taken during a stop have a deadline 0.1 s before its end, so that a server's own response still passes.

--- a/process/proxier/proxier.go
+++ b/process/proxier/proxier.go
@@ -68,6 +68,9 @@
 	// serveDivisor divides the stop time: new requests are accepted during the first
 	// 1/serveDivisor of it, and the rest is left to finish them.
 	serveDivisor = 2
+	// lastResponseMargin is the time between the latest deadline of a request that is
+	// accepted during a stop and the end of the connections.
+	lastResponseMargin = 100 * time.Millisecond
 	// quietPeriod is the time without a request after which the callers count as
 	// connected to other nodes.
 	quietPeriod = 500 * time.Millisecond
@@ -275,7 +278,11 @@
 	p.Log.Info("planned stop started", "limit", deadline.Format(time.RFC3339Nano), "open", p.entry.OpenRequests(), "inFlight", p.executor.InFlight())
 	p.entry.Drain()
 	p.receiver.Drain()
+	p.receiver.FinishBy(deadline.Add(-lastResponseMargin))
 	lastEntry := start.Add(p.Settings.StopTime.AsDuration() / serveDivisor)
+	// The steps below may take longer, since control hosts may not reply.
+	stopReceiving := time.AfterFunc(time.Until(lastEntry), p.receiver.Stop)
+	defer stopReceiving.Stop()
 	p.awaitCallers(start, min(maxCallerWait, lastEntry.Sub(start)))
 	leaveCtx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
@@ -286,14 +293,10 @@
 	time.Sleep(p.Settings.Node.DrainTime.AsDuration())
 	p.registrar.MarkAllLeaving()
 	busy := func() bool { return p.executor.InFlight() > 0 || p.entry.OpenRequests() > 0 }
-	rejecting := false
-	for time.Now().Before(deadline) && (busy() || !rejecting && !p.quiet()) {
-		if !rejecting && time.Now().After(lastEntry) {
-			rejecting = true
-			p.receiver.Stop()
-		}
+	for time.Now().Before(deadline) && (busy() || time.Now().Before(lastEntry) && !p.quiet()) {
 		time.Sleep(drainPollInterval)
 	}
+	p.receiver.Stop()
 	p.Log.Info("planned stop: drain ended", "open", p.entry.OpenRequests(), "inFlight", p.executor.InFlight(), "late", !time.Now().Before(deadline))
 }
 
--- a/request/receiver/receiver.go
+++ b/request/receiver/receiver.go
@@ -112,6 +112,7 @@
 	states        keeper.Keeper // states holds what targets have stated about themselves.
 	origin        atomic.Pointer[string]
 	draining      atomic.Bool
+	finishBy      atomic.Pointer[time.Time] // finishBy bounds the deadlines of new requests; nil before FinishBy.
 	softDeadlines estimator.SoftDeadlines
 	stopping      atomic.Bool
 	inFlight      atomic.Int64
@@ -139,6 +140,10 @@
 // run it again.
 func (v *Receiver) Drain() { v.draining.Store(true) }
 
+// FinishBy gives each new request a deadline no later than t, so that it has a response
+// before the process ends.
+func (v *Receiver) FinishBy(t time.Time) { v.finishBy.Store(&t) }
+
 // Stop makes the receiver reject every new request. The process is about to exit,
 // and a request that starts now could not be completed.
 func (v *Receiver) Stop() { v.stopping.Store(true) }
--- a/request/receiver/request.go
+++ b/request/receiver/request.go
@@ -76,6 +76,9 @@
 	if left := caller.Deadline.Add(-responseMargin); !caller.Deadline.IsZero() && left.Before(s.deadline) {
 		s.deadline = left
 	}
+	if finishBy := v.finishBy.Load(); finishBy != nil && finishBy.Before(s.deadline) {
+		s.deadline = *finishBy
+	}
 	s.softDeadline = v.softDeadlines.SoftDeadline(s.routeName(), x.ReceivedAt, caller.Deadline, route.EffectiveLatencyObjective())
 	s.unsafe = route.NonIdempotent || (!route.Idempotent && (h.IsPost() || string(h.Method()) == fasthttp.MethodPatch))
 	if key == "" {
--- a/stand/starter/notice_integration_test.go
+++ b/stand/starter/notice_integration_test.go
@@ -34,6 +34,10 @@
 	mu       sync.Mutex
 	headers  map[string]string // headers are set on each response.
 	arrivals []arrival
+	ids      map[string]bool // ids holds the requests that arrived.
+	// depositTime is how long requests with the method POST are processed, 0 for as long as
+	// others.
+	depositTime time.Duration
 }
 
 // arrival is a request that reached a target.
@@ -76,11 +80,19 @@
 	if entry, sent, ok := parseNoticeID(id); ok {
 		n.arrivals = append(n.arrivals, arrival{at: time.Now(), sent: sent, entry: entry})
 	}
+	if n.ids == nil {
+		n.ids = map[string]bool{}
+	}
+	n.ids[id] = true
 	for name, value := range n.headers {
 		ctx.Response.Header.Set(name, value)
 	}
+	processingTime := 5 * time.Millisecond
+	if ctx.IsPost() && n.depositTime > 0 {
+		processingTime = n.depositTime
+	}
 	n.mu.Unlock()
-	time.Sleep(5 * time.Millisecond)
+	time.Sleep(processingTime)
 	ctx.Response.Header.Set("X-Request-Id", id)
 	ctx.Response.Header.Set("X-Response-Signature", "signed")
 	ctx.SetBodyString("ok")
@@ -95,6 +107,20 @@
 	return time.Now()
 }
 
+// setDepositTime sets how long requests with the method POST are processed.
+func (n *noticeTarget) setDepositTime(d time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.depositTime = d
+}
+
+// received reports whether a request reached the target.
+func (n *noticeTarget) received(id string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.ids[id]
+}
+
 // arrivalsFromOthers returns the requests that reached the target, were sent at since or
 // later, and began at another node than the target's own.
 func (n *noticeTarget) arrivalsFromOthers(since time.Time) []arrival {
@@ -144,10 +170,10 @@
 	return most
 }
 
-// startNoticeMesh starts three control hosts and three nodes on the platform, a target
-// that makes statements beside statingNode, and one that makes none beside
+// startNoticeMesh starts three control hosts and three nodes on the platform, and two
+// targets: the first is beside statingNode, to make statements, the second beside
 // firstOtherNode. Callers send requests to all nodes until the test ends.
-func startNoticeMesh(t *testing.T) (*platformMesh, *noticeTarget) {
+func startNoticeMesh(t *testing.T) (*platformMesh, [2]*noticeTarget) {
 	t.Helper()
 	is := is.New(t)
 	m := &platformMesh{Mesh: &Mesh{Folder: t.TempDir(), ProgramFolder: programFolder}, t: t, ports: freePorts(t, noticeNodes)}
@@ -171,10 +197,10 @@
 	}
 	is.NoErr(WaitUntil(t.Context(), readyTimeout, "document accepted", func() bool { return m.putDocument(0, "r0", platformDocument(3, 1000)) == 200 }))
 	stating := m.startNoticeTarget(ctx, tasks, "i-stating", statingNode)
-	m.startNoticeTarget(ctx, tasks, "i-plain", firstOtherNode)
+	plain := m.startNoticeTarget(ctx, tasks, "i-plain", firstOtherNode)
 	m.sendNoticeTraffic(ctx, tasks)
 	is.NoErr(WaitUntil(t.Context(), readyTimeout, "traffic of other nodes at the target", func() bool { return len(stating.arrivalsFromOthers(time.Time{})) > 20 }))
-	return m, stating
+	return m, [2]*noticeTarget{stating, plain}
 }
 
 // sendNoticeTraffic sends about 50 requests a second to each node until ctx ends.
@@ -203,7 +229,8 @@
 		allowed       = 3*limit*4/2 + 5
 	)
 	is := is.New(t)
-	m, target := startNoticeMesh(t)
+	m, targets := startNoticeMesh(t)
+	target := targets[0]
 	namedAt := target.state(map[string]string{"Server-Limit": fmt.Sprintf("%d.0", limit)})
 	time.Sleep(effectiveTime + time.Second)
 	m.restartNode(statingNode)
@@ -224,7 +251,8 @@
 func TestStatedLeaveIsIgnored(t *testing.T) {
 	const drainTime = 2 * time.Second
 	is := is.New(t)
-	m, target := startNoticeMesh(t)
+	m, targets := startNoticeMesh(t)
+	target := targets[0]
 	leavingAt := target.state(map[string]string{"Server-Leaving": "1"})
 	time.Sleep(time.Second)
 	m.restartNode(statingNode)
@@ -237,11 +265,6 @@
 // restartNode kills the process of a node and starts it again.
 func (m *platformMesh) restartNode(i int) {
 	m.t.Helper()
-	name := fmt.Sprintf("machine-%d", i+1)
-	for _, p := range m.processes() {
-		if p.Name == name && p.Running() {
-			p.Kill()
-		}
-	}
+	m.daemon(i).Kill()
 	m.start(i, "node.yaml", false)
 }
