Give an unacknowledged request up only when another target has responded

Cause: the request was given up before it was known that any other would take it. Change: the first try goes on while others are made beside it (hedge.go), within the same attempts and the same charge of the retry budget; it is cancelled when another target has responded, and its own response counts if that comes first.

TestOnlyRunningRequestIsGivenUp: 502, reason noTarget, before; 200 now.

--- a/request/dispatcher/dispatcher.go
+++ b/request/dispatcher/dispatcher.go
@@ -89,5 +89,13 @@
 	d.queuedAttempts++
 }
 
+// WithFailed returns a copy in which the endpoint of an attempt gets no further one.
+func (d Dispatcher) WithFailed(o Attempt) Dispatcher {
+	d.withoutFreeSlot = slices.Clone(d.withoutFreeSlot)
+	d.excluded = append(slices.Clone(d.excluded), o.EndpointKey)
+	d.queuedAttempts++
+	return d
+}
+
 // Reset clears the recorded failures, for a newer list of endpoints.
 func (d *Dispatcher) Reset() { d.withoutFreeSlot, d.excluded, d.queuedAttempts = nil, nil, 0 }
--- a/request/forwarder/conn.go
+++ b/request/forwarder/conn.go
@@ -32,7 +32,9 @@
 	resp     *fasthttp.Response
 	identity Identity
 	stream   bool
-	onNoAck  func() bool // onNoAck decides whether to give up an unacknowledged call; it may be nil.
+	// onNoAck returns a channel whose closing gives up an unacknowledged call; it may be
+	// nil, and so may the channel.
+	onNoAck func() (giveUp <-chan struct{})
 }
 
 // callState is the state of a call on one connection. A call that takes another
--- a/request/forwarder/forwarder.go
+++ b/request/forwarder/forwarder.go
@@ -173,9 +173,9 @@
 }
 
 // DoAcknowledged is Do for a peer that acknowledges requests. onNoAck is called
-// once if no acknowledgement arrives within AckTimeout; if it returns true, the
-// request is given up with KindNoAck.
-func (f *Forwarder) DoAcknowledged(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, id Identity, onNoAck func() bool) error {
+// once if no acknowledgement arrives within AckTimeout. If it returns a channel, the
+// request is given up with KindNoAck when that is closed before the response arrives.
+func (f *Forwarder) DoAcknowledged(ctx context.Context, req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time, id Identity, onNoAck func() (giveUp <-chan struct{})) error {
 	_, err := f.run(ctx, call{req: req, resp: resp, identity: id, onNoAck: onNoAck}, deadline)
 	return err
 }
@@ -254,6 +254,7 @@
 // its response may still arrive.
 func (f *Forwarder) await(ctx context.Context, c *callState, timer *time.Timer) (err error, ended bool) {
 	var ackTimeout <-chan time.Time
+	var giveUp <-chan struct{}
 	if f.AckTimeout > 0 && c.onNoAck != nil {
 		t := time.NewTimer(f.AckTimeout)
 		defer t.Stop()
@@ -269,9 +270,11 @@
 			return &Error{"do", KindCancelled, ctx.Err()}, false
 		case <-ackTimeout:
 			ackTimeout = nil
-			if !c.acknowledged.Load() && c.onNoAck() {
-				return &Error{"do", KindNoAck, errors.Errorf("the owner node at %s did not acknowledge the request within %s", f.Address, f.AckTimeout)}, false
+			if !c.acknowledged.Load() {
+				giveUp = c.onNoAck()
 			}
+		case <-giveUp:
+			return &Error{"do", KindNoAck, errors.Errorf("the owner node at %s did not acknowledge the request within %s", f.Address, f.AckTimeout)}, false
 		}
 	}
 }
--- a/request/receiver/acknowledgement_test.go
+++ b/request/receiver/acknowledgement_test.go
@@ -129,3 +129,20 @@
 		})
 	}
 }
+
+// TestOnlyRunningRequestIsGivenUp guards against a request that is given up where it runs,
+// because its owner node's acknowledgement is late, although every other owner node
+// rejects it: the caller then gets a failure for work that a target is doing.
+func TestOnlyRunningRequestIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	c := &claims{}
+	a, late, other := newNode(t, "a", c), newNode(t, "late", c), newNode(t, "other", c)
+	address, _ := listen(t, func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("ok") })
+	announce(t, late, "t1", address)
+	announce(t, other, "t2", address)
+	a.receiver.Balancer.Penalise(applier.EndpointKey{Node: "other", Target: "t2"}) // so that the delayed node is selected first
+	late.peer = delayedOwner(t, late.peer)
+	publishTable(t, 1, a, late, other)
+	is.NoErr(other.targets.MarkLeaving("t2", 0))
+	is.Equal(call(t, a.entry, "GET", "/designs/1", ""), response{200, "ran", "", "ok"})
+}
--- a/request/receiver/request.go
+++ b/request/receiver/request.go
@@ -1,6 +1,7 @@
 package receiver
 
 import (
+	"context"
 	"math/rand/v2"
 	"time"
 
@@ -49,7 +50,10 @@
 // the matched route and service, the deadlines, and what earlier attempts showed.
 type requestState struct {
 	exchange       *acceptor.Exchange
-	table          *compiler.Table // table is the one that the endpoints come from.
+	ctx            context.Context    // ctx ends when the caller disconnects.
+	request        *fasthttp.Request  // request is that of the exchange, or a copy for a hedge.
+	response       *fasthttp.Response // response holds the response of the last attempt.
+	table          *compiler.Table    // table is the one that the endpoints come from.
 	route          *compiler.Route
 	service        *compiler.Service
 	caller         translator.RequestMetadata
@@ -62,7 +66,7 @@
 	tried          []applier.EndpointKey // tried are the endpoints that rejected or failed, for the log.
 	reachedTargets int                   // reachedTargets is the number of attempts that may have reached a target.
 	tableWaitUntil time.Time             // tableWaitUntil is until when newer tables are waited for, zero before the first wait.
-	budgetCharged  bool                  // budgetCharged means that the next attempt was already charged to the retry budget.
+	hedge          *hedge                // hedge is the one that the present attempt has started, nil without one.
 	mayHaveRun     bool                  // mayHaveRun means that an earlier attempt may have run the request.
 }
 
@@ -71,7 +75,7 @@
 func (v *Receiver) newRequestState(x *acceptor.Exchange, table *compiler.Table, route *compiler.Route, caller translator.RequestMetadata) *requestState {
 	h := &x.Request.Header
 	key := string(h.Peek(checker.HeaderIdempotencyKey))
-	s := &requestState{exchange: x, table: table, route: route, service: table.Service(v.Balancer.SelectService(route)), caller: caller, hasKey: key != ""}
+	s := &requestState{exchange: x, ctx: x.Context(), request: &x.Request, response: &x.Response, table: table, route: route, service: table.Service(v.Balancer.SelectService(route)), caller: caller, hasKey: key != ""}
 	s.deadline = x.ReceivedAt.Add(route.Timeout.AsDuration())
 	if left := caller.Deadline.Add(-responseMargin); !caller.Deadline.IsZero() && left.Before(s.deadline) {
 		s.deadline = left
@@ -109,7 +113,7 @@
 			break
 		}
 		s.tried = append(s.tried, o.EndpointKey)
-		report, detail = v.sendAttempt(s, o)
+		report, detail = v.attempt(s, o)
 		if s.isFinal(report) {
 			return v.finish(s, report, detail)
 		}
@@ -117,10 +121,9 @@
 		if mayHaveReachedTarget(report) {
 			s.reachedTargets++
 			s.mayHaveRun = s.mayHaveRun || report.Outcome != forwarder.OutcomeNotRun
-			if s.reachedTargets > s.route.Retries || !s.budgetCharged && !v.Budget.Spend(s.service.Name) {
+			if s.reachedTargets > s.route.Retries || !v.Budget.Spend(s.service.Name) {
 				break
 			}
-			s.budgetCharged = false
 			retriesTotal.Inc()
 		}
 		v.logRetry(s, o, report, detail)
@@ -190,7 +193,7 @@
 // run is tried again only if it is idempotent, or if the claim on its key lets only one
 // attempt run, and never after a crash of the target.
 func (s *requestState) isFinal(r translator.Report) bool {
-	if time.Until(s.deadline) < minRetryTime || s.exchange.Context().Err() != nil {
+	if time.Until(s.deadline) < minRetryTime || s.ctx.Err() != nil {
 		return true
 	}
 	switch r.Outcome {
@@ -208,7 +211,7 @@
 // targetFailed reports whether the response of the attempt is a server error, a status
 // of 500 or more.
 func (s *requestState) targetFailed() bool {
-	return s.exchange.Response.StatusCode() >= fasthttp.StatusInternalServerError
+	return s.response.StatusCode() >= fasthttp.StatusInternalServerError
 }
 
 // queueDeadline returns until when the request may wait for a slot of an endpoint. That
@@ -239,11 +242,11 @@
 		Rank: s.route.Rank(), Origin: v.originService(), Deadline: s.deadline, QueueDeadline: s.queueDeadline(c, now), SoftDeadline: s.softDeadline, ProcessingTime: c.ProcessingTime, NoWait: c.NoWait,
 	}
 	done := v.Balancer.Begin(c.EndpointKey, c.ProcessingTime)
-	s.exchange.Response.Reset()
+	s.response.Reset()
 	var report translator.Report
 	detail := ""
 	if c.Node == v.Node {
-		report = v.Owner.Execute(s.exchange.Context(), &s.exchange.Request, &s.exchange.Response, o, done)
+		report = v.Owner.Execute(s.ctx, s.request, s.response, o, done)
 	} else {
 		report, detail = v.sendToPeer(s, c, o, done)
 	}
@@ -261,7 +264,7 @@
 	v.recordState(s, c, r)
 	switch {
 	case r.Outcome == forwarder.OutcomeRan && !s.targetFailed():
-		v.Balancer.RecordResponse(c.EndpointKey, s.routeName(), r.Load, bodyBytes(&s.exchange.Response))
+		v.Balancer.RecordResponse(c.EndpointKey, s.routeName(), r.Load, bodyBytes(s.response))
 	case r.Reason != translator.ReasonCallerGone && r.Reason != translator.ReasonLimit:
 		v.Balancer.Penalise(c.EndpointKey)
 	}
@@ -310,7 +313,7 @@
 // is the second result; a response that names no attempt gives an unknown outcome. done is
 // called once, when the attempt no longer counts as in flight.
 func (v *Receiver) sendToPeer(s *requestState, c dispatcher.Attempt, o executor.Order, done func()) (translator.Report, string) {
-	req, resp := &s.exchange.Request, &s.exchange.Response
+	req, resp := s.request, s.response
 	req.Header.Set(checker.HeaderOrder, o.Encode(time.Now()))
 	defer req.Header.Del(checker.HeaderOrder)
 	if states := v.states.StatesOf(c.Node); len(states) > 0 {
@@ -319,9 +322,9 @@
 	}
 	var err error
 	if o.Stream && !o.Unsafe {
-		err = v.peer(c.Address).Stream(s.exchange.Context(), req, resp, o.Deadline.Add(ownerResponseGrace), ownerIdentity(o), done)
+		err = v.peer(c.Address).Stream(s.ctx, req, resp, o.Deadline.Add(ownerResponseGrace), ownerIdentity(o), done)
 	} else {
-		err = v.peer(c.Address).DoAcknowledged(s.exchange.Context(), req, resp, o.Deadline.Add(ownerResponseGrace), ownerIdentity(o), func() bool { return v.ackMissed(s, c) })
+		err = v.peer(c.Address).DoAcknowledged(s.ctx, req, resp, o.Deadline.Add(ownerResponseGrace), ownerIdentity(o), func() <-chan struct{} { return v.ackMissed(s, c) })
 		done()
 	}
 	if err != nil {
@@ -346,23 +349,6 @@
 	}}
 }
 
-// ackMissed records that an owner node sent no acknowledgement in time and reports
-// whether the request is given up there. An idempotent request is given up if another
-// attempt is possible: that takes another endpoint, enough time, and the retry
-// budget, which is charged at once. Any other request is waited for, since it may be
-// running. A node that is stopping waits for both.
-func (v *Receiver) ackMissed(s *requestState, c dispatcher.Attempt) bool {
-	v.Balancer.Penalise(c.EndpointKey)
-	if s.unsafe || v.draining.Load() || s.reachedTargets >= s.route.Retries {
-		return false
-	}
-	if c.Alternatives == 0 || time.Until(s.deadline) < c.ProcessingTime {
-		return false
-	}
-	s.budgetCharged = v.Budget.Spend(s.service.Name)
-	return s.budgetCharged
-}
-
 // finish ends a request and returns its final report. After OutcomeRan it keeps the
 // target's response; otherwise it writes a rejection with the detail. A request that an
 // earlier attempt may have run gets an unknown outcome instead of OutcomeNotRun.
