--- a/request/forwarder/conn.go
+++ b/request/forwarder/conn.go
@@ -24,6 +24,8 @@
 	// minIdleTimeout is the lower bound of the idle timeout after idleMargin is subtracted
 	// from the peer's timeout.
 	minIdleTimeout = 500 * time.Millisecond
+	// maxIdleTimeout is the upper bound of the idle timeout, whatever the peer names.
+	maxIdleTimeout = time.Hour
 )
 
 // call is one request with its response.
@@ -374,7 +376,8 @@
 		seconds, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
 		n, err := strconv.Atoi(seconds)
 		if ok && err == nil && n > 0 {
-			pc.idleTimeout = max(time.Duration(n)*time.Second-idleMargin, minIdleTimeout)
+			timeout := time.Duration(min(n, int(maxIdleTimeout.Seconds()))) * time.Second
+			pc.idleTimeout = max(timeout-idleMargin, minIdleTimeout)
 		}
 	}
 }
--- a/request/forwarder/idle_test.go
+++ b/request/forwarder/idle_test.go
@@ -213,3 +213,26 @@
 	}
 	pc.close()
 }
+
+// TestOddKeepAliveTimeoutOverflows guards against a Keep-Alive timeout of a target that is
+// beyond any duration: it wrapped around to the shortest or to centuries.
+func TestOddKeepAliveTimeoutOverflows(t *testing.T) {
+	for value, want := range map[string]time.Duration{
+		"timeout=10":                  10*time.Second - idleMargin,
+		"timeout=1":                   minIdleTimeout,
+		"timeout=0":                   defaultIdleTimeout,
+		"timeout=-5":                  defaultIdleTimeout,
+		"timeout=x":                   defaultIdleTimeout,
+		"timeout=9223372037":          maxIdleTimeout - idleMargin,
+		"timeout=18446744074":         maxIdleTimeout - idleMargin,
+		"timeout=9223372036854775807": maxIdleTimeout - idleMargin,
+		"max=5, timeout=10":           10*time.Second - idleMargin,
+	} {
+		is := is.New(t)
+		pc := &persistConn{idleTimeout: defaultIdleTimeout}
+		h := &fasthttp.ResponseHeader{}
+		h.Set("Keep-Alive", value)
+		pc.readIdleTimeout(h)
+		is.Equal(pc.idleTimeout, want) // for the value of the row
+	}
+}
