--- a/request/receiver/hedge.go
+++ b/request/receiver/hedge.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 
 	"github.com/hornbeamrack/hornbeamrack/request/checker"
@@ -13,6 +14,9 @@
 	"github.com/hornbeamrack/hornbeamrack/request/translator"
 )
 
+// hedgesTotal counts the hedges that were started.
+var hedgesTotal = metrics.NewCounter("hornbeam_hedges_total")
+
 // hedge is a second try of an idempotent request, at other endpoints, while the first one
 // goes on at an owner node that has sent no acknowledgement. The first is given up only
 // when the hedge has a response: until then it may be the only one that a target works on.
@@ -49,6 +53,8 @@
 		return nil
 	}
 	retriesTotal.Inc()
+	hedgesTotal.Inc()
+	v.logHedge(s, c)
 	s.hedge = v.startHedge(s, c)
 	return s.hedge.served
 }
--- a/request/receiver/log.go
+++ b/request/receiver/log.go
@@ -11,14 +11,15 @@
 
 // The messages of the log lines: a target responded, the request ended without a
 // target's response, an attempt failed that may be followed by another, a request
-// matched no route of a table, and an owner node reported another state of a target than
-// before. Each message has its own rate limit.
+// matched no route of a table, an owner node reported another state of a target than
+// before, and an owner node did not acknowledge a request in time. Each message has its own rate limit.
 const (
 	msgCompleted = "request completed"
 	msgRejected  = "request refused"
 	msgRetried   = "request attempt failed"
 	msgUnmatched = "request without a route refused"
 	msgState     = "state of a target learned"
+	msgHedged    = "request tried elsewhere without an acknowledgement"
 )
 
 // logFields returns the fields that every log line on a request has.
@@ -75,6 +76,13 @@
 	}
 }
 
+// logHedge logs the start of a hedge beside an attempt that is not acknowledged.
+func (v *Receiver) logHedge(s *requestState, c dispatcher.Attempt) {
+	if v.Logger.AllowLine(msgHedged) {
+		v.Logger.Requests.Info(msgHedged, append(v.logFields(s), "target", c.EndpointKey.String(), "usualMs", c.ProcessingTime.Milliseconds())...)
+	}
+}
+
 // logRetry logs a failed attempt after which another one may follow. detail is its
 // cause in words.
 func (v *Receiver) logRetry(s *requestState, c dispatcher.Attempt, r translator.Report, detail string) {
