--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -36,7 +36,7 @@
 	"late-heartbeat":   playLateHeartbeat,
 	"kept-connections": playKeptConnections,
 	"lost-disks":       playLostDisks,
-	"large-bodies":     playLargeBodies,
+	"endless-bodies":   playEndlessBodies,
 }
 
 func main() {
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -89,7 +89,7 @@
 
 // heartbeatBody returns the body of a heartbeat with the next number.
 func (s *server) heartbeatBody(state string) string {
-	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"zone-a","version":%q,"slots":9,"state":%q,"coldLeftMs":0,"sequence":%d,"born":%d}`,
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":"zone-a","version":%q,"slots":6,"state":%q,"coldLeftMs":0,"sequence":%d,"born":%d}`,
 		s.service, s.listener.Addr().String(), s.version, state, s.sequence.Add(1), s.born)
 }
 
