--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -3,10 +3,10 @@
 //
 // # Usage
 //
-//	review/bin/stand --case NAME --root ROOT --record FILE
+//	review/bin/stand --case NAME --trouble=true --root ROOT --record FILE
 //
 // It exits with 0 if the rule held, 1 if it was broken and 2 if the case could not run.
-// With TROUBLE=0 in the environment it leaves the disruption out.
+// With --trouble=false it leaves the disruption out.
 package main
 
 import (
@@ -41,14 +41,15 @@
 
 func main() {
 	name := flag.String("case", "", "name of the case")
+	trouble := flag.Bool("trouble", true, "whether the disruption takes place")
 	root := flag.String("root", ".", "folder of the project")
 	path := flag.String("record", "record.txt", "file that gets the record")
 	flag.Parse()
-	os.Exit(play(*name, *root, *path))
+	os.Exit(play(*name, *root, *path, *trouble))
 }
 
 // play plays a case and returns the exit code.
-func play(name, root, path string) int {
+func play(name, root, path string, trouble bool) int {
 	scene, ok := scenarios[name]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case", name)
@@ -67,9 +68,13 @@
 		case <-signals:
 		case <-time.After(maxDuration):
 		}
+		if m := started.Load(); m != nil {
+			m.stopAll()
+		}
 		os.Exit(exitNotRun)
 	}()
-	broken, err := scene(rec, root, os.Getenv("TROUBLE") != "0")
+	rec.line("case", "%s, trouble: %v", name, trouble)
+	broken, err := scene(rec, root, trouble)
 	switch {
 	case err != nil:
 		rec.line("result", "could not run: %v", err)
--- a/review/stand/mesh.go
+++ b/review/stand/mesh.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -71,6 +72,9 @@
 	seeds     int
 }
 
+// started is the mesh of this run, nil before newMesh.
+var started atomic.Pointer[mesh]
+
 // newMesh prepares a mesh with some control hosts, followed by one node for each service
 // in the list. Nothing is started yet.
 func newMesh(rec *record, root string, controlHosts int, services []string) (*mesh, error) {
@@ -92,6 +96,7 @@
 	for i, s := range services {
 		m.machines = append(m.machines, &machine{mesh: m, index: controlHosts + i, name: fmt.Sprintf("side-%d", i+1), template: "node.yaml", service: s})
 	}
+	started.Store(m)
 	return m, nil
 }
 
@@ -263,9 +268,7 @@
 	for _, x := range m.machines {
 		x.kill()
 	}
-	if os.Getenv("KEEP") == "" {
-		_ = os.RemoveAll(m.folder)
-	}
+	_ = os.RemoveAll(m.folder)
 }
 
 // httpClient is used for the calls of the platform and of the operator. It opens a new
