--- a/review/stand/heartbeat.go
+++ b/review/stand/heartbeat.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// heartbeatNodes is the number of nodes of which one is killed: a share of 0.167.
+const heartbeatNodes = 6
+
 // playLateHeartbeat plays a server that deregisters and serves on for a while. The node
 // beside it acknowledges that. In trouble, the process of the node is killed then and
 // starts again. A heartbeat that the server sent before it left arrives seconds late.
@@ -14,7 +17,11 @@
 // The rule DRAIN is broken if a request reaches the server later than drainTime after the
 // acknowledgement, over machines that are in touch.
 func playLateHeartbeat(rec *record, root string, trouble bool) (bool, error) {
-	m, err := newMesh(rec, root, 3, []string{serviceName, serviceName, serviceName})
+	services := make([]string, heartbeatNodes)
+	for i := range services {
+		services[i] = serviceName
+	}
+	m, err := newMesh(rec, root, 3, services)
 	if err != nil {
 		return false, err
 	}
