A disk that refuses writes pauses its replica and does not end it

Callers of the mesh noticed nothing.

Ruled out: a process that ended (none started again), a leader that was not found (b-1 leads until 19.39 s with two voters).

Change: the group pauses. It steps down, drops messages, refuses requests as not proposed, and repeats the write that failed every 100 ms, after the recorder has cut its segment behind the last synced record. What was committed is applied after it; nothing unsynced is ever sent. The class: an I/O error that ends one part of a process.

The fake disk refuses truncations too and takes half of a write, which is stricter than before.

--- a/process/controller/bootstrap.go
+++ b/process/controller/bootstrap.go
@@ -66,20 +66,26 @@
 // host with a new disk that starts beside existing groups is not a member and waits
 // until operators add it. join returns an error of KindJoin when ctx ends first.
 func (c *Controller) join(ctx context.Context) error {
+	failed := false
 	for len(c.initialMembership().Members) == 0 {
 		replies := c.identifyHosts(ctx)
 		initial := c.chooseInitialMembership(replies)
 		if len(initial.Members) > 0 {
 			next := c.identity
 			next.InitialMembership = initial
-			if err := saveIdentity(recorder.Folder{Path: c.DataFolder}, next); err != nil {
+			err := saveIdentity(recorder.Folder{Path: c.DataFolder}, next)
+			if err == nil {
+				c.setInitialMembership(initial)
+				c.Log.Info("control host joined its groups", "id", next.ID, "voter", initial.IsVoter(next.ID))
+				return nil
+			}
+			if !isDiskError(err) {
 				return err
 			}
-			c.identityMu.Lock()
-			c.identity.InitialMembership = initial
-			c.identityMu.Unlock()
-			c.Log.Info("control host joined its groups", "id", next.ID, "voter", initial.IsVoter(next.ID))
-			return nil
+			if !failed {
+				c.Log.Error("identity of this host cannot be stored, since its disk fails; free disk space", "err", err)
+			}
+			failed = true
 		}
 		sleeper.Sleep(ctx, joinInterval)
 		if err := ctx.Err(); err != nil {
@@ -89,6 +95,13 @@
 	return nil
 }
 
+// setInitialMembership stores the membership that the groups began with.
+func (c *Controller) setInitialMembership(m replicator.Membership) {
+	c.identityMu.Lock()
+	defer c.identityMu.Unlock()
+	c.identity.InitialMembership = m
+}
+
 // otherHostAddresses returns the addresses at which other control hosts may
 // listen, from the settings and the locator.
 func (c *Controller) otherHostAddresses() []string {
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -27,6 +27,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
@@ -52,6 +53,9 @@
 	// transferTimeout bounds the wait for a leadership transfer at a planned stop.
 	transferTimeout = time.Second
 	commandTimeout  = 600 * time.Millisecond
+	// diskRetryInterval is the pause between two attempts to open files on a disk that
+	// fails.
+	diskRetryInterval = 200 * time.Millisecond
 	// configSnapshotBytes is the log size that triggers a snapshot of the
 	// configuration group. It keeps the log that a restart reads short; the state is
 	// small and changes seldom.
@@ -133,7 +137,8 @@
 	position     atomic.Pointer[cachedPosition]
 	listener     net.Listener
 	joined       atomic.Bool
-	halted       atomic.Bool
+	halted       atomic.Bool  // halted means that a group has stopped for good.
+	dropLoggedAt atomic.Int64 // dropLoggedAt is when a dropped message was logged last, in Unix nanoseconds.
 	tasks        conc.WaitGroup
 	conns        connectionSet
 }
@@ -215,6 +220,9 @@
 
 // logEvent logs an event of a group.
 func (c *Controller) logEvent(group string, n replicator.Event) {
+// diskFailures counts the outages of this host's disk, as each group saw them.
+var diskFailures = metrics.NewCounter("hornbeam_disk_failures_total")
+
 	switch n := n.(type) {
 	case replicator.RoleChange:
 		c.Log.Info("role in the group changed", "group", group, "role", n.Role, "term", n.Term, "leader", c.addressOf(n.Leader), "cause", n.Cause, "silentMs", n.SinceContact.Milliseconds())
@@ -224,6 +232,11 @@
 		c.Log.Info("snapshot of the group received from its leader", "group", group, "index", n.Index, "bytes", n.Bytes)
 	}
 }
+	case replicator.DiskFailure:
+		diskFailures.Inc()
+		c.Log.Error("replica of the group paused, since its disk refuses writes; free disk space", "group", group, "err", n.Err)
+	case replicator.DiskRecovery:
+		c.Log.Info("replica of the group continues, since its disk works again", "group", group, "attempts", n.Attempts, "pausedMs", n.Outage.Milliseconds())
 
 // electionSeed derives the seed of the random election timeouts from an identity.
 func electionSeed(id string) uint64 {
@@ -246,7 +259,10 @@
 		return err
 	}
 	for _, m := range c.replicas {
-		if err := m.open(c.identity.InitialMembership); err != nil {
+		if err := c.openReplica(ctx, m); err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
 			return err
 		}
 	}
@@ -272,6 +288,32 @@
 
 // open creates the folder of the group and opens it.
 func (m *groupReplica) open(initial replicator.Membership) error {
+// openReplica opens this host's replica of a group. It tries again while the disk fails,
+// until ctx ends, since this process may also run a node. It returns other errors at once.
+func (c *Controller) openReplica(ctx context.Context, m *groupReplica) error {
+	failed := false
+	for {
+		err := m.open(c.identity.InitialMembership)
+		if !isDiskError(err) {
+			return err
+		}
+		if !failed {
+			c.Log.Error("replica of the group cannot be opened, since its disk fails; free disk space", "group", m.group.Name, "err", err)
+		}
+		failed = true
+		sleeper.Sleep(ctx, diskRetryInterval)
+		if ctx.Err() != nil {
+			return err
+		}
+	}
+}
+
+// isDiskError reports whether an error comes from a disk that may work again later.
+func isDiskError(err error) bool {
+	var e *Error
+	return recorder.IsKind(err, recorder.KindIO) || errors.As(err, &e) && e.Kind == KindDisk
+}
+
 	folder, ok := m.group.Recorder.Disk.(recorder.Folder)
 	if ok {
 		if err := folder.Create(); err != nil {
@@ -281,12 +323,12 @@
 	return m.group.Open(initial)
 }
 
-// runGroup runs a group until ctx ends. A failed disk stops this host's replica of
-// the group but not the process, which may also run a node.
+// runGroup runs a group until ctx ends. A state that cannot be encoded or restored stops
+// this host's replica of the group but not the process, which may also run a node.
 func (c *Controller) runGroup(ctx context.Context, m *groupReplica) {
 	if err := m.group.Run(ctx); err != nil {
 		c.halted.Store(true)
-		c.Log.Error("replica of the group stopped; free disk space or replace this control host", "group", m.group.Name, "err", err)
+		c.Log.Error("replica of the group stopped; replace this control host", "group", m.group.Name, "err", err)
 	}
 }
 
@@ -318,8 +360,8 @@
 	c.tasks.Wait()
 }
 
-// Ready reports whether both groups have a leader that this host follows, and
-// neither group has stopped because of its disk.
+// Ready reports whether both groups have a leader that this host follows. A group whose
+// disk refuses writes has none, nor has one that has stopped.
 func (c *Controller) Ready() bool {
 	if !c.joined.Load() || c.halted.Load() {
 		return false
--- a/process/recorder/faker/faker.go
+++ b/process/recorder/faker/faker.go
@@ -22,8 +22,8 @@
 // Disk implements recorder.Disk in memory. The zero value is an empty disk without
 // a limit.
 type Disk struct {
-	Limited bool // Limited makes writes, syncs and replacements fail once Budget is 0.
-	Budget  int  // Budget is the number of writes, syncs and replacements that still succeed.
+	Limited bool // Limited makes writes, syncs, truncations and replacements fail once Budget is 0.
+	Budget  int  // Budget is the number of them that still succeed.
 
 	files map[string]*fakeFile
 }
@@ -90,6 +90,9 @@
 
 // Truncate implements recorder.Disk.
 func (d *Disk) Truncate(name string, size int64) error {
+	if err := d.consumeBudget(); err != nil {
+		return err
+	}
 	f := d.open(name)
 	f.content = f.content[:size]
 	f.syncedBytes = len(f.content)
@@ -124,10 +127,13 @@
 	return names, nil
 }
 
-// Write implements recorder.File.
+// Write implements recorder.File. A disk that becomes full takes the first half of the
+// bytes.
 func (f *fakeFile) Write(b []byte) (int, error) {
 	if err := f.disk.consumeBudget(); err != nil {
-		return 0, err
+		half := len(b) / 2
+		f.content = append(f.content, b[:half]...)
+		return half, err
 	}
 	f.content = append(f.content, b...)
 	return len(b), nil
--- a/process/recorder/recorder.go
+++ b/process/recorder/recorder.go
@@ -22,7 +22,8 @@
 //	err = r.Save(recorder.Batch{HardState: &hardState, Entries: entries})
 //
 // After a failed Save or Compact a Recorder rejects further writes with KindFailed,
-// because the content of a file is undefined after a failed sync.
+// because the content of a file is undefined after a failed sync. Recover makes it
+// usable again once the disk works; the caller then repeats the call that failed.
 package recorder
 
 import (
@@ -67,7 +68,7 @@
 const (
 	KindIO      Kind = "io"      // KindIO means that the disk returned an error.
 	KindCorrupt Kind = "damaged" // KindCorrupt means that synced bytes have changed.
-	KindFailed  Kind = "failed"  // KindFailed means that an earlier write failed.
+	KindFailed  Kind = "failed"  // KindFailed means that an earlier write failed and Recover was not called since.
 	KindTooBig  Kind = "tooBig"  // KindTooBig means that a record exceeds MaxRecordBytes.
 )
 
@@ -148,7 +149,8 @@
 	file          File
 	hardState     HardState // hardState is the last one that was saved.
 	segmentNumber uint64    // segmentNumber is the number of the current segment.
-	failure       error     // failure is the first error of a write.
+	syncedBytes   int64     // syncedBytes is the length of the synced records of the current segment.
+	failure       error     // failure is the first error of a write since Open or Recover.
 }
 
 // Open reads the durable state and opens the log for appending. It returns
@@ -164,8 +166,9 @@
 		return State{}, err
 	}
 	segments := withPrefix(names, segmentPrefix)
+	r.syncedBytes = 0
 	for i, name := range segments {
-		if err := r.replaySegment(name, i == len(segments)-1, &state); err != nil {
+		if r.syncedBytes, err = r.replaySegment(name, i == len(segments)-1, &state); err != nil {
 			return State{}, err
 		}
 	}
@@ -173,6 +176,7 @@
 		return State{}, err
 	}
 	r.hardState = state.HardState
+	r.failure = nil
 	if len(segments) > 0 {
 		if _, err := fmt.Sscanf(segments[len(segments)-1], segmentPrefix+"%d", &r.segmentNumber); err != nil {
 			return State{}, &Error{"open", KindCorrupt, errors.Wrap(err, "parse the number in the name of the last segment")}
@@ -185,6 +189,28 @@
 	return state, nil
 }
 
+// Recover makes the Recorder usable again after a failed Save or Compact. It cuts the
+// current segment behind its last synced record, since whatever a failed write left there
+// was never acknowledged, and opens it anew. The caller then repeats the failed call with
+// the same arguments before it makes any other one. Recover returns KindIO while the disk
+// still fails.
+func (r *Recorder) Recover() error {
+	if r.failure == nil {
+		return nil
+	}
+	_ = r.Close()
+	name := segmentName(r.segmentNumber)
+	if err := r.Disk.Truncate(name, r.syncedBytes); err != nil {
+		return &Error{"recover", KindIO, err}
+	}
+	file, err := r.Disk.Append(name)
+	if err != nil {
+		return &Error{"recover", KindIO, err}
+	}
+	r.file, r.failure = file, nil
+	return nil
+}
+
 // Save appends a batch to the log and syncs it, in several records if it exceeds
 // MaxRecordBytes. It returns KindTooBig, with nothing written, for an entry over
 // MaxRecordBytes; KindIO when the write or sync fails; and KindFailed after an earlier
@@ -213,35 +239,47 @@
 	if _, err := r.file.Write(record); err != nil {
 		return err
 	}
-	return r.file.Sync()
+	if err := r.file.Sync(); err != nil {
+		return err
+	}
+	r.syncedBytes += int64(len(record))
+	return nil
 }
 
 // Compact makes a snapshot durable, starts a segment with rest, the entries that
-// follow the snapshot, and removes the files that the two replace. It returns
-// KindIO on failure, and KindFailed after an earlier one.
+// follow the snapshot, and removes the files that the two replace. It returns KindTooBig,
+// with nothing written, for a snapshot or an entry that is too large, KindIO when the
+// disk fails, and KindFailed after an earlier failure.
 func (r *Recorder) Compact(s Snapshot, rest []Entry) error {
 	if r.failure != nil {
 		return &Error{"compact", KindFailed, r.failure}
 	}
-	if err := r.compact(s, rest); err != nil {
+	body, err := encoder.Marshal(s)
+	if err == nil && len(body) > maxBodyBytes {
+		err = errors.Errorf("snapshot of %d bytes exceeds the limit of %d bytes", len(body), maxBodyBytes)
+	}
+	if err != nil {
+		return &Error{"compact", KindTooBig, err}
+	}
+	hard := r.hardState
+	records, err := encodeRecords(Batch{HardState: &hard, Entries: rest})
+	if err != nil {
+		return err
+	}
+	if err := r.replaceFiles(s.Index, frameRecord(body), bytes.Join(records, nil)); err != nil {
 		r.failure = err
 		return &Error{"compact", KindIO, err}
 	}
 	return nil
 }
 
-func (r *Recorder) compact(s Snapshot, rest []Entry) error {
-	body, err := encoder.Marshal(s)
-	if err != nil {
+// replaceFiles stores a snapshot, starts a segment with the given content and removes
+// the files that the two replace.
+func (r *Recorder) replaceFiles(snapshot uint64, content, segment []byte) error {
+	if err := r.Disk.Replace(snapshotName(snapshot), content); err != nil {
 		return err
 	}
-	if len(body) > maxBodyBytes {
-		return errors.Errorf("snapshot of %d bytes exceeds the limit of %d bytes", len(body), maxBodyBytes)
-	}
-	if err := r.Disk.Replace(snapshotName(s.Index), frameRecord(body)); err != nil {
-		return err
-	}
-	if err := r.startSegment(rest); err != nil {
+	if err := r.startSegment(segment); err != nil {
 		return err
 	}
 	names, err := r.Disk.List()
@@ -249,7 +287,7 @@
 		return err
 	}
 	for _, name := range names {
-		if !r.isObsolete(name, s.Index) {
+		if !r.isObsolete(name, snapshot) {
 			continue
 		}
 		if err := r.Disk.Remove(name); err != nil {
@@ -259,15 +297,10 @@
 	return nil
 }
 
-// startSegment creates a new segment whose first records repeat the hard state and
-// the entries that are still needed.
-func (r *Recorder) startSegment(rest []Entry) error {
-	hard := r.hardState
-	records, err := encodeRecords(Batch{HardState: &hard, Entries: rest})
-	if err != nil {
-		return err
-	}
-	if err := r.Disk.Replace(segmentName(r.segmentNumber+1), bytes.Join(records, nil)); err != nil {
+// startSegment creates a new segment with the given content: records that repeat the
+// hard state and the entries that are still needed.
+func (r *Recorder) startSegment(content []byte) error {
+	if err := r.Disk.Replace(segmentName(r.segmentNumber+1), content); err != nil {
 		return err
 	}
 	file, err := r.Disk.Append(segmentName(r.segmentNumber + 1))
@@ -275,7 +308,7 @@
 		return err
 	}
 	_ = r.file.Close()
-	r.file = file
+	r.file, r.syncedBytes = file, int64(len(content))
 	r.segmentNumber++
 	return nil
 }
@@ -297,7 +330,9 @@
 	if r.file == nil {
 		return nil
 	}
-	return r.file.Close()
+	file := r.file
+	r.file = nil
+	return file.Close()
 }
 
 // readSnapshot reads the newest snapshot. A snapshot is renamed to its name only
@@ -322,35 +357,35 @@
 	return nil
 }
 
-// replaySegment reads one segment into state. Only the last segment may end in a
-// torn write, which is truncated.
-func (r *Recorder) replaySegment(name string, last bool, state *State) error {
+// replaySegment reads one segment into state and returns the length of its records. Only
+// the last segment may end in a torn write, which is truncated.
+func (r *Recorder) replaySegment(name string, last bool, state *State) (int64, error) {
 	raw, err := r.Disk.Read(name)
 	if err != nil {
-		return &Error{"replay", KindIO, err}
+		return 0, &Error{"replay", KindIO, err}
 	}
 	rest := raw
 	for len(rest) > 0 {
+		offset := len(raw) - len(rest)
 		body, next, ok := splitRecord(rest, MaxRecordBytes)
 		if !ok {
-			offset := len(raw) - len(rest)
 			if !last || !isTornWrite(rest) {
-				return &Error{"replay", KindCorrupt, errors.Errorf("%s at byte %d: checksum does not match; replace this control host", name, offset)}
+				return 0, &Error{"replay", KindCorrupt, errors.Errorf("%s at byte %d: checksum does not match; replace this control host", name, offset)}
 			}
 			state.TruncatedBytes = len(rest)
 			if err := r.Disk.Truncate(name, int64(offset)); err != nil {
-				return &Error{"replay", KindIO, err}
+				return 0, &Error{"replay", KindIO, err}
 			}
-			return nil
+			return int64(offset), nil
 		}
 		var b Batch
 		if err := encoder.Unmarshal(body, &b); err != nil {
-			return &Error{"replay", KindCorrupt, errors.Wrapf(err, "%s at byte %d", name, len(raw)-len(rest))}
+			return 0, &Error{"replay", KindCorrupt, errors.Wrapf(err, "%s at byte %d", name, offset)}
 		}
 		mergeBatch(state, b)
 		rest = next
 	}
-	return nil
+	return int64(len(raw)), nil
 }
 
 // mergeBatch adds one batch to the state read so far.
--- a/process/recorder/recorder_test.go
+++ b/process/recorder/recorder_test.go
@@ -208,3 +208,38 @@
 		}
 	})
 }
+
+// TestFullDiskStopsRecorder guards against a Recorder that a disk without room makes
+// useless for good, and against lost or doubled entries when the failed call is repeated
+// after any number of its writes.
+func TestFullDiskStopsRecorder(t *testing.T) {
+	batch := recorder.Batch{HardState: &recorder.HardState{Term: 2}, Entries: []recorder.Entry{entry(6)}}
+	snapshot := recorder.Snapshot{Index: 3, Term: 1, Data: []byte("state")}
+	calls := map[string]func(r *recorder.Recorder) error{
+		"save":    func(r *recorder.Recorder) error { return r.Save(batch) },
+		"compact": func(r *recorder.Recorder) error { return r.Compact(snapshot, []recorder.Entry{entry(4), entry(5)}) },
+	}
+	for name, call := range calls {
+		for budget := range 2 {
+			is := is.New(t)
+			d, _ := diskWithRecords(t, 5)
+			r, _, err := openRecorder(t, d)
+			is.NoErr(err)
+			d.Limited, d.Budget = true, budget
+			is.True(recorder.IsKind(call(r), recorder.KindIO))
+			is.True(recorder.IsKind(r.Recover(), recorder.KindIO)) // the disk is still full
+			is.True(recorder.IsKind(call(r), recorder.KindFailed))
+			d.Limited = false
+			is.NoErr(r.Recover())
+			is.NoErr(call(r))
+			is.NoErr(r.Save(batch))
+			d.Crash(0)
+			_, s, err := openRecorder(t, d)
+			is.NoErr(err)
+			is.Equal(s.HardState.Term, uint64(2))
+			is.Equal(s.Snapshot.Index+uint64(len(s.Entries)), uint64(6)) // name, budget
+			is.Equal(s.Entries[len(s.Entries)-1], entry(6))
+			t.Logf("%s after %d writes: %d entries", name, budget, len(s.Entries))
+		}
+	}
+}
--- a/process/replicator/core.go
+++ b/process/replicator/core.go
@@ -174,6 +174,10 @@
 	}
 }
 
+// StepDown makes this member a follower without a leader, for example because it cannot
+// write to its disk.
+func (c *Core) StepDown() { c.becomeFollower(c.hardState.Term, "", CauseDiskFailure) }
+
 // Propose appends one entry of the given kind per data item to the log and
 // returns the index of the first. It returns KindNotLeader unless this member
 // leads and is not transferring leadership.
--- a/process/replicator/event.go
+++ b/process/replicator/event.go
@@ -12,16 +12,29 @@
 	CauseTransfer      Cause = "handOver"    // CauseTransfer means that leadership is transferred to this member, or that its own transfer came too late.
 	CauseElected       Cause = "elected"     // CauseElected means that a quorum voted for this member.
 	CauseNewerTerm     Cause = "newerTerm"   // CauseNewerTerm means that another member is in a later term.
+	CauseDiskFailure   Cause = "diskFailure" // CauseDiskFailure means that the disk of this member refused a write.
 	CauseOtherLeader   Cause = "otherLeader" // CauseOtherLeader means that another member leads this term.
 )
 
-// Event is what a group passes to OnEvent, for logs: a RoleChange, a Compaction
-// or a Restoration.
+// Event is what a group passes to OnEvent, for logs: a RoleChange, a Compaction, a
+// Restoration, a DiskFailure or a DiskRecovery.
 type Event interface{ isEvent() }
 
-func (RoleChange) isEvent()  {}
-func (Compaction) isEvent()  {}
-func (Restoration) isEvent() {}
+func (RoleChange) isEvent()   {}
+func (Compaction) isEvent()   {}
+func (Restoration) isEvent()  {}
+func (DiskFailure) isEvent()  {}
+func (DiskRecovery) isEvent() {}
+
+// DiskFailure reports that the disk of this member has refused a write. The member takes
+// no part in the group until the write succeeds.
+type DiskFailure struct{ Err error }
+
+// DiskRecovery reports that the write that failed has succeeded.
+type DiskRecovery struct {
+	Attempts int           // Attempts is the number of failed attempts.
+	Outage   time.Duration // Outage is the time since the first of them.
+}
 
 // Compaction reports that a snapshot replaced the log up to an index.
 type Compaction struct {
--- a/process/replicator/group_test.go
+++ b/process/replicator/group_test.go
@@ -194,3 +194,51 @@
 	is.True(l != nil && l != old)
 	h.commitCommands(1)
 }
+
+// TestFullDiskEndsMember guards against a member that a full disk takes out of its group
+// for good: the disk of each member in turn takes no more bytes for a while, the
+// leader's first.
+func TestFullDiskEndsMember(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, 3, 3)
+	h.advance(3 * time.Second)
+	h.commitCommands(40) // enough for more than one snapshot
+	for range 2 * len(h.hosts) {
+		full := h.leader()
+		full.disk.Limited, full.disk.Budget = true, 1 // the write succeeds, its sync does not
+		h.step(full, proposal{[]byte("unacknowledged"), make(chan outcome, 1)})
+		h.advance(4 * time.Second)
+		is.True(h.leader() != full)
+		is.Equal(full.group.Status().Leader, "") // it sends nobody to a leader that it no longer follows
+		h.commitCommands(5)
+		full.disk.Limited = false
+		h.advance(4 * time.Second)
+		is.Equal(full.state.Commands[len(full.state.Commands)-1], h.acked[len(h.acked)-1]) // it has caught up
+	}
+	h.checkSameCommands()
+	h.checkAcknowledged()
+}
+
+// TestFullDiskDuringSnapshot guards against a member that ends, or loses commands, when
+// its disk has no room for a snapshot of its own or of the leader.
+func TestFullDiskDuringSnapshot(t *testing.T) {
+	for budget := range 8 {
+		is := is.New(t)
+		h := newHarness(t, uint64(budget), 3)
+		h.advance(3 * time.Second)
+		h.commitCommands(10)
+		behind := h.hosts[0]
+		if h.leader() == behind {
+			behind = h.hosts[1]
+		}
+		behind.frozen = true
+		h.commitCommands(60) // the log that it lacks is compacted
+		behind.frozen = false
+		behind.disk.Limited, behind.disk.Budget = true, budget
+		h.advance(5 * time.Second)
+		behind.disk.Limited = false
+		h.advance(5 * time.Second)
+		is.Equal(len(behind.state.Commands), 70)
+		h.checkAcknowledged()
+	}
+}
--- a/process/replicator/harness_test.go
+++ b/process/replicator/harness_test.go
@@ -103,9 +103,9 @@
 	for _, e := range items {
 		x.group.handleItem(e)
 	}
-	x.group.core.Tick(h.now)
-	if err := x.group.flushEffects(); err != nil {
-		x.group = nil // A host whose disk failed stops.
+	x.group.tick()
+	if err := x.group.flush(); err != nil {
+		h.t.Fatalf("%s stopped: %v", x.id, err)
 	}
 }
 
@@ -196,9 +196,9 @@
 			x.group = nil
 			x.disk.Crash(h.r.IntN(20))
 		}
-	case 1, 2:
+	case 1, 2: // a full disk has room again
+		x.disk.Limited = false
 		if x.group == nil {
-			x.disk.Limited = false
 			h.startHost(x)
 		}
 	case 3:
@@ -239,6 +239,7 @@
 			continue
 		}
 		x.group = nil
+		x.disk.Limited = false
 		x.disk.Crash(h.r.IntN(20))
 		h.startHost(x)
 	}
@@ -248,12 +249,11 @@
 // repairFault ends the faults of one host, or of all links.
 func (h *harness) repairFault() {
 	x := h.randomHost()
-	x.frozen = false
+	x.frozen, x.disk.Limited = false, false
 	switch {
 	case h.r.IntN(2) == 0:
 		h.cutLinks = map[string]bool{}
 	case x.group == nil:
-		x.disk.Limited = false
 		h.startHost(x)
 	}
 }
--- a/process/replicator/replicator.go
+++ b/process/replicator/replicator.go
@@ -6,7 +6,9 @@
 // leadership transfer before a planned stop, group commit, and snapshots.
 // Core is the state machine of the algorithm, without I/O. Group runs a Core in
 // one goroutine with a disk and a network: everything that a message
-// acknowledges is synced before the message is sent.
+// acknowledges is synced before the message is sent. While the disk refuses writes
+// the member pauses: it neither sends nor accepts anything, like a member that has no
+// power, and goes on once the write that failed has succeeded.
 //
 // # Usage
 //
@@ -45,6 +47,9 @@
 	tickInterval  = 10 * time.Millisecond // tickInterval is the period of the ticker of Run.
 	inboxCapacity = 4096                  // inboxCapacity is in items; messages that do not fit are dropped.
 	maxBatchItems = 256                   // maxBatchItems bounds the inbox items that are handled before one sync.
+
+	// diskRetryInterval is the time between two attempts to repeat a failed write.
+	diskRetryInterval = 100 * time.Millisecond
 )
 
 // Applier is the state that a group replicates. A group calls it from one
@@ -135,6 +140,9 @@
 	pending  map[uint64]pendingEntry // pending holds the proposals of this member that are not applied yet, by index.
 	logBytes int                     // logBytes is the data in the log since the last compaction.
 	done     chan struct{}           // done is closed when Run returns.
+	unsaved  *Effects                // unsaved are the effects whose write has failed, nil when there are none.
+	unstored *compaction             // unstored is the compaction whose write has failed, nil when there is none.
+	outage   *diskOutage             // outage is set while the disk refuses writes.
 
 	mu             sync.Mutex // mu guards the fields below; no other lock is taken while it is held.
 	status         Status
@@ -190,6 +198,19 @@
 	err   error
 }
 
+// compaction is a snapshot with the log entries that follow it.
+type compaction struct {
+	snapshot recorder.Snapshot
+	rest     []recorder.Entry
+}
+
+// diskOutage is the time during which the disk refuses writes.
+type diskOutage struct {
+	since    time.Time
+	retryAt  time.Time
+	attempts int // attempts is the number of failed attempts to write.
+}
+
 // pendingEntry is a proposed entry whose proposer waits for the outcome. If an
 // entry of another term is applied at its index, the proposal was replaced.
 type pendingEntry struct {
@@ -248,8 +269,8 @@
 }
 
 // Run processes messages, requests and ticks until ctx ends, and then closes the
-// Recorder. It returns earlier with an error when the disk fails or the state
-// cannot be written or restored.
+// Recorder. It pauses while the disk refuses writes, and returns early with an error
+// only when the state cannot be encoded or restored.
 func (g *Group) Run(ctx context.Context) error {
 	defer close(g.done)
 	ticker := time.NewTicker(tickInterval)
@@ -260,12 +281,12 @@
 			return g.Recorder.Close()
 		case <-ticker.C:
 			g.drainInbox() // Messages that have already arrived count as contact before the tick checks timeouts.
-			g.core.Tick(g.Now())
+			g.tick()
 		case e := <-g.inbox:
 			g.handleItem(e)
 			g.drainInbox()
 		}
-		if err := g.flushEffects(); err != nil {
+		if err := g.flush(); err != nil {
 			g.mu.Lock()
 			g.failure = err
 			g.mu.Unlock()
@@ -287,7 +308,18 @@
 	}
 }
 
+// tick advances the time of the core, which stands still while the disk refuses writes.
+func (g *Group) tick() {
+	if g.outage == nil {
+		g.core.Tick(g.Now())
+	}
+}
+
 func (g *Group) handleItem(e inboxItem) {
+	if g.outage != nil {
+		rejectItem(e)
+		return
+	}
 	switch e := e.(type) {
 	case receivedMessage:
 		g.core.Step(g.Now(), e.envelope)
@@ -318,6 +350,24 @@
 	}
 }
 
+// rejectItem drops a message, and fails a request, while the disk refuses writes.
+func rejectItem(e inboxItem) {
+	var result chan outcome
+	switch e := e.(type) {
+	case receivedMessage:
+		return
+	case proposal:
+		result = e.result
+	case membershipChange:
+		result = e.result
+	case readIndexRequest:
+		result = e.result
+	case leadershipTransfer:
+		result = e.result
+	}
+	result <- outcome{err: &Error{"request", KindNotLeader, errors.New("the disk of this member refuses writes")}}
+}
+
 // addPending sends the outcome to result once the entry at index is applied, or err
 // at once if it is set.
 func (g *Group) addPending(index uint64, err error, result chan outcome) {
@@ -328,14 +378,63 @@
 	g.pending[index] = pendingEntry{term: g.core.TermAt(index), result: result}
 }
 
+// flush carries out the effects of the core. A write that the disk refuses begins an
+// outage, in which flush repeats that write every diskRetryInterval; its other errors
+// are final.
+func (g *Group) flush() error {
+	if g.outage != nil && g.Now().Before(g.outage.retryAt) {
+		return nil
+	}
+	err := g.Recorder.Recover()
+	if err == nil {
+		err = g.flushEffects()
+	}
+	switch {
+	case recorder.IsKind(err, recorder.KindIO):
+		g.recordDiskFailure(err)
+		return nil
+	case err == nil && g.outage != nil:
+		g.emitEvent(DiskRecovery{Attempts: g.outage.attempts, Outage: g.Now().Sub(g.outage.since)})
+		g.outage = nil
+	}
+	return err
+}
+
+// recordDiskFailure records a write that the disk has refused. The first one begins an
+// outage: this member steps down, since it cannot add to its log, and its unsent messages
+// are dropped, since they may be out of date once the disk works again.
+func (g *Group) recordDiskFailure(err error) {
+	now := g.Now()
+	if g.outage == nil {
+		g.outage = &diskOutage{since: now}
+		g.core.StepDown()
+		if g.unsaved != nil {
+			g.unsaved.Messages = nil
+		}
+		g.emitEvent(DiskFailure{Err: err})
+		g.publishStatus()
+	}
+	g.outage.attempts++
+	g.outage.retryAt = now.Add(diskRetryInterval)
+}
+
 // flushEffects carries out the effects of the core until there are none left: it
-// syncs first, then sends, then applies. Then it compacts the log if it is due.
+// syncs first, then sends, then applies. Then it compacts the log if it is due. After
+// an error the next call goes on with the write that failed.
 func (g *Group) flushEffects() error {
+	if g.unstored != nil {
+		return g.storeCompaction()
+	}
 	for {
-		e := g.core.TakeEffects()
+		if g.unsaved == nil {
+			taken := g.core.TakeEffects()
+			g.unsaved = &taken
+		}
+		e := *g.unsaved
 		if err := g.saveEffects(e); err != nil {
 			return err
 		}
+		g.unsaved = nil
 		g.core.MarkSaved()
 		for _, change := range e.RoleChanges {
 			g.emitEvent(change)
@@ -365,11 +464,8 @@
 	if !e.needsSave() {
 		return nil
 	}
-	for _, entry := range e.Batch.Entries {
-		g.logBytes += len(entry.Data)
-	}
 	if e.Snapshot == nil {
-		return g.Recorder.Save(e.Batch)
+		return g.saveBatch(e.Batch)
 	}
 	if e.Batch.HardState != nil {
 		if err := g.Recorder.Save(recorder.Batch{HardState: e.Batch.HardState}); err != nil {
@@ -389,6 +485,17 @@
 	return nil
 }
 
+// saveBatch appends a batch to the log.
+func (g *Group) saveBatch(b recorder.Batch) error {
+	if err := g.Recorder.Save(b); err != nil {
+		return err
+	}
+	for _, entry := range b.Entries {
+		g.logBytes += len(entry.Data)
+	}
+	return nil
+}
+
 // sendMessages passes messages to the Sender. A recipient that the membership does
 // not list has only its ID.
 func (g *Group) sendMessages(messages []Envelope) {
@@ -455,10 +562,20 @@
 		Index: g.applied, Term: g.core.TermAt(g.applied),
 		Membership: g.core.MembershipAt(g.applied), Data: data,
 	}
-	rest := g.core.Compact(s)
+	g.unstored = &compaction{snapshot: s, rest: g.core.Compact(s)}
+	return g.storeCompaction()
+}
+
+// storeCompaction makes the present compaction durable.
+func (g *Group) storeCompaction() error {
+	s := g.unstored.snapshot
+	if err := g.Recorder.Compact(s, g.unstored.rest); err != nil {
+		return err
+	}
+	g.unstored = nil
 	g.logBytes = 0
-	g.emitEvent(Compaction{Index: s.Index, Bytes: len(data)})
-	return g.Recorder.Compact(s, rest)
+	g.emitEvent(Compaction{Index: s.Index, Bytes: len(s.Data)})
+	return nil
 }
 
 // publishStatus stores the status that Status returns.
