A leave is acknowledged once control hosts have recorded it

What callers saw: a node acknowledged that its target leaves and was killed 0.2 s later.

Cause: departed incarnations were kept in the memory of the node's process alone (registrar.recordDeparture); control hosts only dropped the endpoint. Ruled out: a table that other nodes keep too long (without the kill no request is late), a lease that is renewed by the late heartbeat (without the kill it is ignored).

Change: a departure is a part of the node's announcement; control hosts replicate it, add no endpoint that it covers, and send it to a node that requests the whole state. The node acknowledges a leave, a draining heartbeat too, once the announcement is accepted, and answers 503 after 850 ms. A leave that names a later incarnation than the known one is recorded as such. Fields are added to gob and CBOR messages; older processes ignore them.

--- a/connection/messenger/message.go
+++ b/connection/messenger/message.go
@@ -123,6 +123,9 @@
 	// update, zero when it does not know. It is an age, since clocks differ between hosts.
 	VersionAge time.Duration
 }
+	// Departures are the targets of the node that have left. They are set for a node that
+	// requests the whole state, since it may have restarted.
+	Departures []applier.Departure
 
 // CommandArgs proposes a command to a group.
 type CommandArgs struct {
--- a/connection/registrar/registrar.go
+++ b/connection/registrar/registrar.go
@@ -36,11 +36,6 @@
 	// MaxTargets is the maximum number of targets on one host.
 	MaxTargets = 64
 
-	// departedRetention is how long the record of an incarnation that left is kept. Its delayed
-	// announcements arrive within seconds.
-	departedRetention = 5 * time.Minute
-	maxDeparted       = 1024
-
 	maxSlots = 10_000
 	maxPort  = 1<<16 - 1
 	// maxClockStep is how far in the future a start time, or the end of a target's cold
@@ -58,6 +53,7 @@
 	KindInvalid       Kind = "invalid"
 	KindFull          Kind = "full"
 	KindUnknownTarget Kind = "unknown"
+	KindUnconfirmed   Kind = "unconfirmed" // KindUnconfirmed means that a leave is in force, but a restart of this node would forget it.
 )
 
 // Error is the only error type of this package. Op is announce or leave.
@@ -159,13 +155,6 @@
 	changed  chan struct{}
 }
 
-// departedIncarnation is an incarnation of a target that has left. It never receives
-// requests again, even if delayed announcements of it arrive.
-type departedIncarnation struct {
-	startedAt int64 // startedAt is in Unix milliseconds.
-	removeAt  time.Time
-}
-
 // Announce adds a new target or renews a lease. A target whose description has
 // changed, its start time included, replaces the earlier one. A delayed announcement
 // of an earlier incarnation is ignored without an error. The *Error has KindInvalid
@@ -180,7 +169,7 @@
 	if r.isOutdated(a, old) {
 		return nil
 	}
-	if l, ok := r.departed[a.Target]; ok && old == nil && a.StartedAt <= l.startedAt {
+	if d, ok := r.departed[a.Target]; ok && old == nil && d.covers(a) {
 		return nil
 	}
 	if old == nil && len(r.targets) >= MaxTargets {
@@ -258,7 +247,7 @@
 
 // MarkLeaving stops new requests to a target; requests in flight complete. startedAt
 // identifies the incarnation that leaves, in Unix milliseconds; 0 means the current
-// one. A leave of an earlier incarnation is ignored. The *Error has KindInvalid, and
+// one, or any that has started by now if the target is not known. A leave of an earlier incarnation is ignored. The *Error has KindInvalid, and
 // nothing changes, if no target can have started then; it has KindUnknownTarget if there
 // is no such target.
 func (r *Registrar) MarkLeaving(name string, startedAt int64) error {
@@ -271,29 +260,15 @@
 	if t != nil && startedAt != 0 && startedAt < t.StartedAt {
 		return nil // An earlier incarnation left.
 	}
-	if t != nil {
-		startedAt = t.StartedAt
-	}
-	r.recordDeparture(name, startedAt)
 	if t == nil {
+		r.recordLeave(name, startedAt)
 		return &Error{"leave", KindUnknownTarget, errors.Errorf("no target %q on this host", name)}
 	}
+	r.recordDeparture(name, max(startedAt, t.StartedAt))
 	r.stopNewRequests(t, "the target left")
 	return nil
 }
 
-// recordDeparture stores that an incarnation of a target has left. It removes all
-// earlier records when there are maxDeparted of them. r.mu is held.
-func (r *Registrar) recordDeparture(name string, startedAt int64) {
-	if startedAt == 0 || startedAt < r.departed[name].startedAt {
-		return
-	}
-	if r.departed == nil || len(r.departed) >= maxDeparted {
-		r.departed = map[string]departedIncarnation{}
-	}
-	r.departed[name] = departedIncarnation{startedAt, r.now().Add(departedRetention)}
-}
-
 // MarkAllLeaving stops new requests to every target, before the node itself stops.
 func (r *Registrar) MarkAllLeaving() {
 	r.mu.Lock()
@@ -330,7 +305,7 @@
 	defer r.mu.Unlock()
 	now := r.now()
 	for name, l := range r.departed {
-		if now.After(l.removeAt) {
+		if now.After(l.ExpiresAt) {
 			delete(r.departed, name)
 		}
 	}
--- a/process/controller/methods.go
+++ b/process/controller/methods.go
@@ -72,6 +72,9 @@
 			return err
 		}
 		if awaitChange(ctx, changed, left) {
+			if args.Have == (differ.Have{}) {
+				reply.Departures = state.DeparturesOf(args.Report.Node)
+			}
 			sleeper.Sleep(ctx, syncSettleDelay)
 		}
 	}
--- a/process/proxier/proxier.go
+++ b/process/proxier/proxier.go
@@ -61,6 +61,9 @@
 	// maxCallerWait and minCallerWait bound the wait for callers to change to another
 	// node; callers check the readiness of the node each second.
 	maxCallerWait = 2400 * time.Millisecond
+	// departureTimeout is less than the second for which targets wait for an
+	// acknowledgement.
+	departureTimeout = 850 * time.Millisecond
 	minCallerWait = time.Second
 	// stopMargin is the time between the deadline for requests in flight and the end
 	// of the stop time in the settings.
@@ -179,13 +182,32 @@
 func (p *Proxier) Origin() string { return *p.origin.Load() }
 
 // Announce registers a target of this host or renews its lease. It returns the
-// registrar's error when the announcement is not valid or not allowed.
-func (p *Proxier) Announce(a registrar.Announcement) error { return p.registrar.Announce(a) }
+// registrar's error when the announcement is not valid or not allowed, or when a leave
+// is in force but may not be acknowledged yet.
+func (p *Proxier) Announce(a registrar.Announcement) error {
+	if err := p.registrar.Announce(a); err != nil || !a.Leaving {
+		return err
+	}
+	return p.awaitDeparture(a.Target)
+}
 
 // MarkLeaving stops new requests to a target of this host; startedAt is 0 for any
-// incarnation of it. It returns an error when the target is not registered.
+// incarnation of it. It returns an error when the target is not registered, or when the
+// leave is in force but may not be acknowledged yet.
 func (p *Proxier) MarkLeaving(target string, startedAt int64) error {
-	return p.registrar.MarkLeaving(target, startedAt)
+	err := p.registrar.MarkLeaving(target, startedAt)
+	if unrecorded := p.awaitDeparture(target); unrecorded != nil {
+		return unrecorded
+	}
+	return err
+}
+
+// awaitDeparture waits until control hosts have recorded that a target leaves. An
+// acknowledged leave thus outlives this process.
+func (p *Proxier) awaitDeparture(target string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), departureTimeout)
+	defer cancel()
+	return p.registrar.AwaitDeparture(ctx, target)
 }
 
 // callerLimits returns the limits on callers' requests in the configuration in force.
@@ -340,7 +362,7 @@
 	if err := json.Unmarshal(ctx.Body(), &a); err != nil {
 		return fiber.NewError(fiber.StatusBadRequest, "request body: "+err.Error())
 	}
-	if err := p.registrar.Announce(a); err != nil {
+	if err := p.Announce(a); err != nil {
 		return announceError(err)
 	}
 	return ctx.JSON(struct {
@@ -357,7 +379,7 @@
 	if err := json.Unmarshal(ctx.Body(), &a); err != nil {
 		return fiber.NewError(fiber.StatusBadRequest, "request body: "+err.Error())
 	}
-	if err := p.registrar.MarkLeaving(a.Target, 0); err != nil {
+	if err := p.MarkLeaving(a.Target, 0); err != nil {
 		return announceError(err)
 	}
 	inFlight := 0
@@ -384,3 +406,5 @@
 	}
 	return fiber.NewError(status, err.Error())
 }
+	case registrar.KindUnconfirmed:
+		status = fiber.StatusServiceUnavailable
--- a/process/subscriber/announcer.go
+++ b/process/subscriber/announcer.go
@@ -24,8 +24,12 @@
 }
 
 // recentlyAccepted reports whether the same announcement was accepted less than
-// repeatDelay ago, so that it may not be in this node's table yet.
+// repeatDelay ago, so that it may not be in this node's table yet. One with departures was
+// not accepted yet.
 func (a *announcer) recentlyAccepted(list applier.Announcement, now time.Time) bool {
+	if len(list.Departures) > 0 {
+		return false
+	}
 	same := a.accepted.Incarnation == list.Incarnation && slices.Equal(a.accepted.Endpoints, list.Endpoints)
 	return same && now.Before(a.repeatAt)
 }
--- a/process/subscriber/reply.go
+++ b/process/subscriber/reply.go
@@ -60,6 +60,7 @@
 		rejectedTotal.Inc()
 		return stepDecode, err
 	}
+	s.restoreDepartures(r.reply.Departures)
 	changed, err := s.apply(update, r.args.Have)
 	if err != nil {
 		rejectedTotal.Inc()
--- a/process/subscriber/subscriber.go
+++ b/process/subscriber/subscriber.go
@@ -277,13 +277,14 @@
 }
 
 // announceLoop announces the node's targets whenever the table lists other targets
-// for this node.
+// for this node, and targets that have left until a control host has recorded them.
 func (s *Subscriber) announceLoop(ctx context.Context) {
 	pause := newBackoff(maxAnnounceBackoff)
 	var sent announcer
 	for ctx.Err() == nil {
 		list, changed := s.Registrar.List()
-		announcement, applied, due := s.announcement(list)
+		departures := s.Registrar.UnconfirmedDepartures()
+		announcement, applied, due := s.announcement(list, departures)
 		if !due {
 			sent = announcer{} // The next difference to the table is announced at once.
 		}
@@ -294,20 +295,21 @@
 		callCtx, cancel := context.WithTimeout(ctx, announceTimeout)
 		err := s.Client.AnnounceTargets(callCtx, announcement)
 		cancel()
-		s.Log.Info("targets announced", "targets", len(announcement.Endpoints), "err", err)
+		s.Log.Info("targets announced", "targets", len(announcement.Endpoints), "left", len(departures), "err", err)
 		if err != nil {
 			sleeper.SleepOrSignal(ctx, pause.NextBackOff(), changed, nil)
 			continue
 		}
 		pause.Reset()
+		s.Registrar.ConfirmDepartures(departures)
 		sent.recordAccepted(announcement, time.Now())
 	}
 }
 
 // announcement returns this node's announcement, a channel that is closed at the
 // next change of the table, and whether the announcement differs from the table and
-// must be sent.
-func (s *Subscriber) announcement(list []registrar.Announcement) (applier.Announcement, <-chan struct{}, bool) {
+// must be sent. A departure must be sent always.
+func (s *Subscriber) announcement(list []registrar.Announcement, departures []registrar.Departure) (applier.Announcement, <-chan struct{}, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var listed []applier.Endpoint
@@ -326,14 +328,15 @@
 		e.Modified = 0
 		listed = append(listed, e)
 	}
-	a := applier.Announcement{Node: s.Node, Incarnation: s.incarnation}
+	a := applier.Announcement{Node: s.Node, Incarnation: s.incarnation, Departures: s.departuresOf(departures)}
 	if !s.leaving {
 		for _, t := range list {
 			a.Endpoints = append(a.Endpoints, s.endpointOf(t))
 		}
 	}
 	s.setNameConflict(conflict)
-	due := s.Tables.Table() != nil && !conflict && !slices.Equal(listed, a.Endpoints)
+	differs := len(departures) > 0 || !slices.Equal(listed, a.Endpoints)
+	due := s.Tables.Table() != nil && !conflict && differs
 	return a, s.applied, due
 }
 
--- a/process/subscriber/subscriber_test.go
+++ b/process/subscriber/subscriber_test.go
@@ -33,7 +33,7 @@
 			_, err := s.apply(differ.NewUpdate(state, differ.SnapshotOf(state).Position(), differ.Have{}), differ.Have{})
 			is.NoErr(err)
 			list, _ := s.Registrar.List()
-			a, _, due := s.announcement(list)
+			a, _, due := s.announcement(list, s.Registrar.UnconfirmedDepartures())
 			if !due {
 				continue
 			}
--- a/stand/starter/platform_integration_test.go
+++ b/stand/starter/platform_integration_test.go
@@ -37,6 +37,7 @@
 	*Mesh
 	t     *testing.T
 	ports []int
+	seeds []int // seeds are the processes that new ones get as seeds; the first three when nil.
 }
 
 // nextPort is the first port that freePorts tries. The HTTP client keeps connections to
@@ -80,13 +81,25 @@
 	return net.JoinHostPort(processIP(i), strconv.Itoa(m.ports[port]))
 }
 
+// seedIndexes returns the indexes of the processes that new ones get as seeds.
+func (m *platformMesh) seedIndexes() []int {
+	if m.seeds == nil {
+		return []int{0, 1, 2}
+	}
+	return m.seeds
+}
+
 // templateFields returns the values that the platform passes to the templates for
 // process i.
 func (m *platformMesh) templateFields(i int, bootstrap bool) map[string]any {
+	seeds := []any{}
+	for _, s := range m.seedIndexes() {
+		seeds = append(seeds, m.address(s, controlPort))
+	}
 	f := map[string]any{
 		"nodeName": fmt.Sprintf("machine-%d", i+1), "zone": "zone-a", "ip": processIP(i), "bootstrap": bootstrap,
 		"portRange": []any{m.ports[rpcPort], m.ports[adminPort]}, "dataDir": filepath.Join(m.Folder, fmt.Sprintf("data-%d", i)),
-		"seeds":   []any{m.address(0, controlPort), m.address(1, controlPort), m.address(2, controlPort)},
+		"seeds":   seeds,
 		"service": "svc1", "tolerate": map[string]any{"machines": 1},
 		"limits": map[string]any{"memoryMb": 280, "linkMbps": 1000.0},
 		"bounds": map[string]any{"graceS": 6, "configApplyMs": 2000, "retryRatio": 0.2, "retrySlack": 56},
@@ -225,13 +238,11 @@
 // received.
 type receivedRequest struct{ target, origin, id, path string }
 
-// TestPlatformWholePath guards against settings in deploy/ or calls of the platform that
-// the daemons do not accept. It runs control hosts and nodes with the settings of deploy/
-// and sends the platform's calls: documents, heartbeats of targets, requests over two
-// nodes and readiness; it also loses the disk of a control host.
-func TestPlatformWholePath(t *testing.T) {
-	is := is.New(t)
-	m := &platformMesh{Mesh: &Mesh{Folder: t.TempDir(), ProgramFolder: programFolder}, t: t, ports: freePorts(t, 5)}
+// startControlHosts starts three control hosts of a mesh of up to the given number of
+// processes. A failed test logs the output of all processes.
+func startControlHosts(t *testing.T, processes int) (*platformMesh, []*Node) {
+	t.Helper()
+	m := &platformMesh{Mesh: &Mesh{Folder: t.TempDir(), ProgramFolder: programFolder}, t: t, ports: freePorts(t, processes)}
 	t.Cleanup(func() {
 		m.KillAll()
 		if t.Failed() {
@@ -240,7 +251,37 @@
 			}
 		}
 	})
-	control := []*Node{m.start(0, "control.yaml", true), m.start(1, "control.yaml", true), m.start(2, "control.yaml", true)}
+	return m, []*Node{m.start(0, "control.yaml", true), m.start(1, "control.yaml", true), m.start(2, "control.yaml", true)}
+}
+
+// newControlMesh starts three control hosts and sends the first document.
+func newControlMesh(t *testing.T, processes int) (*platformMesh, []*Node) {
+	t.Helper()
+	m, control := startControlHosts(t, processes)
+	m.awaitDocument(0, 0, 1)
+	return m, control
+}
+
+// awaitDocument waits until process i accepts document number, which replaces the one of
+// the number base.
+func (m *platformMesh) awaitDocument(i, base, number int) {
+	m.t.Helper()
+	document := platformDocument(number, 1000+number)
+	err := WaitUntil(m.t.Context(), readyTimeout, fmt.Sprintf("document %d accepted by process %d", number, i), func() bool {
+		return m.putDocument(i, fmt.Sprintf("r%d", base), document) == 200
+	})
+	if err != nil {
+		m.t.Fatal(err)
+	}
+}
+
+// TestPlatformWholePath guards against settings in deploy/ or calls of the platform that
+// the daemons do not accept. It runs control hosts and nodes with the settings of deploy/
+// and sends the platform's calls: documents, heartbeats of targets, requests over two
+// nodes and readiness; it also loses the disk of a control host.
+func TestPlatformWholePath(t *testing.T) {
+	is := is.New(t)
+	m, control := startControlHosts(t, 5)
 	m.start(3, "node.yaml", true)
 	m.start(4, "node.yaml", true)
 	first := platformDocument(3, 1000)
--- a/version/applier/command.go
+++ b/version/applier/command.go
@@ -74,11 +74,13 @@
 	At          time.Time `cbor:"9,keyasint"`
 }
 
-// Announcement is the complete list of the targets at one node.
+// Announcement is the complete list of the targets at one node, and the targets that have
+// left since the last accepted one.
 type Announcement struct {
-	Node        string     `cbor:"1,keyasint"`
-	Incarnation uint64     `cbor:"2,keyasint"`
-	Endpoints   []Endpoint `cbor:"3,keyasint"`
+	Node        string      `cbor:"1,keyasint"`
+	Incarnation uint64      `cbor:"2,keyasint"`
+	Endpoints   []Endpoint  `cbor:"3,keyasint"`
+	Departures  []Departure `cbor:"4,keyasint,omitempty"`
 }
 
 // Announce replaces the target lists of several nodes.
--- a/version/applier/endpoints.go
+++ b/version/applier/endpoints.go
@@ -67,14 +67,19 @@
 		seen[e.Target] = true
 		kept = append(kept, e)
 	}
-	a.Endpoints = kept
+	a.Endpoints, a.Departures = kept, a.validDepartures()
 	return a
 }
 
 // announce replaces the endpoints of the announcing nodes. An announcement from
-// an earlier incarnation of its node is dropped.
+// an earlier incarnation of its node is dropped, but for its departures. A target that has
+// left is not added again.
 func (s State) announce(index uint64, c Announce) State {
 	for _, a := range c.Announcements {
+		s = s.withDepartures(a.Departures, c.At)
+	}
+	for _, a := range c.Announcements {
+		a = s.withoutDeparted(a)
 		if slices.ContainsFunc(s.Endpoints, func(e Endpoint) bool { return e.Node == a.Node && e.Incarnation > a.Incarnation }) {
 			continue
 		}
--- a/version/applier/state.go
+++ b/version/applier/state.go
@@ -232,6 +232,7 @@
 	PoisonRequests      []PoisonRequest   `cbor:"11,keyasint"`
 	Document            Document          `cbor:"12,keyasint"`
 	AcceptedDocuments   []DocumentID      `cbor:"13,keyasint"` // AcceptedDocuments are the last accepted documents, oldest first.
+	Departures          []Departure       `cbor:"14,keyasint,omitempty"`
 }
 
 // Section returns a section by name, false if there is none.
