Limits of the document are in force on open connections

Cause: a connection made its read buffer of the size that the limit had at its start, and fasthttp parses a header only as a whole in the buffer. A lowered limit was not in force either. Ruled out: a table that is not in force (a new connection at the same node takes the header).

Looked at and left: header and body limits, header timeout and routes are read for each request.

Change: requestReader enlarges its buffer while a header does not fit, up to the limit in force, checks the length that was read, and takes a small buffer again for the next request. All enlarged buffers take 16 MB at most; beyond that a long header is refused as not run.

Tests, before: TestKeptConnectionHasOldLimits fails with "small read buffer", both parts of TestIdleConnectionHasOldTimeout and TestIdleTimeBeginsWithTheRequest fail; now they pass, with TestPipelinedLongHeadersAreLost and TestManyLongHeadersAreUnbounded, which are new.

--- a/connection/acceptor/acceptor.go
+++ b/connection/acceptor/acceptor.go
@@ -111,7 +111,9 @@
 	// Handler fills in the response of an exchange. It runs concurrently for the requests
 	// of a connection.
 	Handler func(x *Exchange)
-	Limits  func() Limits // Limits is called for each request; defaults apply when nil.
+	// Limits is called for each request and while a connection is idle, so that limits that
+	// change are in force on open connections too; defaults apply when nil.
+	Limits func() Limits
 	// MalformedHandler, when set, fills in the response to a request that cannot be read.
 	MalformedHandler func(resp *fasthttp.Response, status int, detail string)
 
@@ -120,6 +122,7 @@
 	closed           bool
 	draining         atomic.Bool
 	openRequests     atomic.Int64
+	enlargedBytes    atomic.Int64 // enlargedBytes is the size of the read buffers beyond their initial one.
 	lastRequestNanos atomic.Int64 // lastRequestNanos is when the latest request was read, in Unix nanoseconds.
 }
 
--- a/connection/acceptor/acceptor_test.go
+++ b/connection/acceptor/acceptor_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -196,3 +197,131 @@
 		})
 	}
 }
+
+// changingLimits are limits that a test changes while connections are open.
+type changingLimits struct{ atomic.Pointer[Limits] }
+
+func (l *changingLimits) get() Limits { return *l.Load() }
+
+// sendHeaderOf sends a request with a header of about n bytes over conn and returns the
+// status line of the response.
+func sendHeaderOf(t *testing.T, conn net.Conn, r *bufio.Reader, n int) string {
+	t.Helper()
+	if _, err := fmt.Fprintf(conn, "GET /%d HTTP/1.1\r\nHost: a\r\nX: %s\r\n\r\n", n, strings.Repeat("x", n)); err != nil {
+		t.Fatal(err)
+	}
+	return readResponse(t, r)
+}
+
+// TestKeptConnectionHasOldLimits guards against a limit on headers that is in force only on
+// connections that were opened after it: a larger one denies proper requests, a smaller
+// one does not bound them.
+func TestKeptConnectionHasOldLimits(t *testing.T) {
+	is := is.New(t)
+	var l changingLimits
+	l.Store(&Limits{HeaderBytes: 16 << 10})
+	address := start(t, &Server{Limits: l.get, Handler: func(x *Exchange) { x.Response.SetBody(x.Request.Header.RequestURI()) }})
+	conn := dial(t, address, "")
+	r := bufio.NewReader(conn)
+	is.Equal(sendHeaderOf(t, conn, r, 100), "/100")
+	l.Store(&Limits{HeaderBytes: 256 << 10})
+	is.Equal(sendHeaderOf(t, conn, r, 20_000), "/20000")
+	is.Equal(sendHeaderOf(t, conn, r, 200_000), "/200000")
+	is.Equal(sendHeaderOf(t, conn, r, 100), "/100")
+	is.Equal(sendHeaderOf(t, conn, r, 100_000), "/100000")
+	l.Store(&Limits{HeaderBytes: 4 << 10})
+	is.Equal(sendHeaderOf(t, conn, r, 100), "/100")
+	_, err := fmt.Fprintf(conn, "GET / HTTP/1.1\r\nHost: a\r\nX: %s\r\n\r\n", strings.Repeat("x", 5_000))
+	is.NoErr(err)
+	line, err := r.ReadString('\n')
+	is.NoErr(err)
+	is.True(strings.Contains(line, " 431 "))
+}
+
+// TestPipelinedLongHeadersAreLost guards against requests that are lost or changed when the
+// read buffer is replaced while later requests are in it already.
+func TestPipelinedLongHeadersAreLost(t *testing.T) {
+	is := is.New(t)
+	limits := func() Limits { return Limits{HeaderBytes: 512 << 10} }
+	address := start(t, &Server{Limits: limits, Handler: func(x *Exchange) {
+		x.Response.SetBody(append(x.Request.Header.RequestURI(), x.Request.Body()...))
+	}})
+	var text strings.Builder
+	for i := range 12 {
+		fmt.Fprintf(&text, "POST /%d HTTP/1.1\r\nHost: a\r\nX: %s\r\nContent-Length: 4\r\n\r\nbody", i, strings.Repeat("x", 30_000*(i%4)))
+	}
+	conn := dial(t, address, "")
+	go func() { _, _ = io.WriteString(conn, text.String()) }()
+	r := bufio.NewReader(conn)
+	for i := range 12 {
+		is.Equal(readResponse(t, r), fmt.Sprintf("/%dbody", i))
+	}
+}
+
+// TestIdleConnectionHasOldTimeout guards against an idle timeout that is read only when a
+// connection becomes idle: a larger one must keep it open, a smaller one must end it.
+func TestIdleConnectionHasOldTimeout(t *testing.T) {
+	t.Run("larger", func(t *testing.T) {
+		t.Parallel()
+		is := is.New(t)
+		var l changingLimits
+		l.Store(&Limits{IdleTimeout: time.Second})
+		address := start(t, &Server{Limits: l.get, Handler: func(x *Exchange) { x.Response.SetBodyString("ok") }})
+		conn := dial(t, address, get("/"))
+		r := bufio.NewReader(conn)
+		is.Equal(readResponse(t, r), "ok")
+		l.Store(&Limits{IdleTimeout: time.Minute})
+		time.Sleep(3 * time.Second)
+		_, err := io.WriteString(conn, get("/"))
+		is.NoErr(err)
+		is.Equal(readResponse(t, r), "ok")
+	})
+	t.Run("smaller", func(t *testing.T) {
+		t.Parallel()
+		is := is.New(t)
+		var l changingLimits
+		l.Store(&Limits{IdleTimeout: time.Minute})
+		address := start(t, &Server{Limits: l.get, Handler: func(x *Exchange) { x.Response.SetBodyString("ok") }})
+		conn := dial(t, address, get("/"))
+		r := bufio.NewReader(conn)
+		is.Equal(readResponse(t, r), "ok")
+		l.Store(&Limits{IdleTimeout: time.Second})
+		is.NoErr(conn.SetReadDeadline(time.Now().Add(20 * time.Second)))
+		_, err := r.ReadByte()
+		is.Equal(err, io.EOF)
+	})
+}
+
+// TestIdleTimeBeginsWithTheRequest guards against a connection that is closed earlier than
+// the idle timeout after its last response, because the handler took a part of the time.
+func TestIdleTimeBeginsWithTheRequest(t *testing.T) {
+	is := is.New(t)
+	limits := func() Limits { return Limits{IdleTimeout: 2 * time.Second} }
+	address := start(t, &Server{Limits: limits, Handler: func(x *Exchange) {
+		time.Sleep(1500 * time.Millisecond)
+		x.Response.SetBodyString("ok")
+	}})
+	conn := dial(t, address, get("/"))
+	r := bufio.NewReader(conn)
+	is.Equal(readResponse(t, r), "ok")
+	time.Sleep(time.Second)
+	_, err := io.WriteString(conn, get("/"))
+	is.NoErr(err)
+	is.Equal(readResponse(t, r), "ok")
+}
+
+// TestManyLongHeadersAreUnbounded guards against long headers on many connections that
+// together take all memory: beyond a bound they are refused as not run.
+func TestManyLongHeadersAreUnbounded(t *testing.T) {
+	is := is.New(t)
+	s := &Server{Limits: func() Limits { return Limits{HeaderBytes: 4 << 20} }, Handler: func(x *Exchange) { x.Response.SetBodyString("ok") }}
+	address := start(t, s)
+	for range 8 {
+		dial(t, address, "GET / HTTP/1.1\r\nHost: a\r\nX: "+strings.Repeat("x", 3<<20))
+	}
+	for end := time.Now().Add(10 * time.Second); s.enlargedBytes.Load() < maxEnlargedBytes/2; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(end)) // the headers arrive
+	}
+	is.True(s.enlargedBytes.Load() <= maxEnlargedBytes)
+	is.Equal(readResponse(t, bufio.NewReader(dial(t, address, get("/")))), "ok") // others are served
+}
--- a/connection/acceptor/conn.go
+++ b/connection/acceptor/conn.go
@@ -16,13 +16,16 @@
 const (
 	writeBufferBytes = 4 << 10
 	discardBytes     = 1 << 10
+	// idleCheckInterval is the maximum time until a changed idle timeout is in force on a
+	// connection that is idle already.
+	idleCheckInterval = 2 * time.Second
 )
 
 // conn is one connection of a caller.
 type conn struct {
 	server         *Server
 	nc             net.Conn
-	br             *bufio.Reader
+	in             requestReader
 	bw             *bufio.Writer // bw is used by the exchange whose response is the next to be written.
 	ctx            context.Context
 	cancel         context.CancelFunc
@@ -33,13 +36,15 @@
 	mu      sync.Mutex
 	pending int
 	closing bool // closing means that no further request is accepted.
+	// idleSince is when the last exchange ended, or the connection was accepted.
+	idleSince time.Time
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &conn{
 		server: s, nc: nc, ctx: ctx, cancel: cancel, bw: bufio.NewWriterSize(nc, writeBufferBytes),
-		slots: make(chan struct{}, maxPipelinedRequests), responsesEnded: make(chan struct{}),
+		slots: make(chan struct{}, maxPipelinedRequests), responsesEnded: make(chan struct{}), idleSince: time.Now(),
 	}
 }
 
@@ -47,8 +52,9 @@
 // Then it waits for the handlers and closes the connection.
 func (c *conn) serve() {
 	defer c.server.removeConn(c)
-	c.br = bufio.NewReaderSize(c.nc, c.server.limits().HeaderBytes)
+	c.in.init(c.nc, &c.server.enlargedBytes)
 	c.readRequests()
+	c.in.release()
 	c.cancel()
 	c.handlers.Wait()
 	_ = c.nc.Close()
@@ -118,31 +124,45 @@
 }
 
 // awaitRequest waits for the first byte of a request. It returns false when the
-// connection is closing, disconnected or idle for too long.
+// connection is closing, disconnected or idle for too long. The limit may change while it
+// waits, so it reads the limit again every idleCheckInterval.
 func (c *conn) awaitRequest() bool {
 	for {
-		_ = c.nc.SetReadDeadline(time.Now().Add(c.server.limits().IdleTimeout))
+		now := time.Now()
+		wait := min(c.idleUntil(now).Sub(now), idleCheckInterval)
+		_ = c.nc.SetReadDeadline(now.Add(wait))
 		if c.isClosing() {
 			return false
 		}
-		_, err := c.br.Peek(1)
+		err := c.in.awaitByte()
 		if err == nil {
 			return true
 		}
-		if isTimeout(err) && !c.isClosing() && c.busy() {
-			continue
+		if !isTimeout(err) || c.isClosing() || !time.Now().Before(c.idleUntil(now)) {
+			c.peerDisconnected()
+			return false
 		}
-		c.peerDisconnected()
-		return false
 	}
 }
 
+// idleUntil returns when the connection has been idle for too long, if no exchange is open
+// until then. While one is open, the idle time begins at now.
+func (c *conn) idleUntil(now time.Time) time.Time {
+	timeout := c.server.limits().IdleTimeout
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending > 0 {
+		return now.Add(timeout)
+	}
+	return c.idleSince.Add(timeout)
+}
+
 // awaitDisconnect discards input until the caller disconnects. It is used when the
 // connection ends with a response that is still to be written.
 func (c *conn) awaitDisconnect() {
 	buf := make([]byte, discardBytes)
 	for {
-		if _, err := c.br.Read(buf); err != nil {
+		if _, err := c.in.Read(buf); err != nil {
 			c.peerDisconnected()
 			return
 		}
@@ -189,7 +209,7 @@
 func (c *conn) readRequest(x *Exchange) (int, error) {
 	l := c.server.limits()
 	_ = c.nc.SetReadDeadline(time.Now().Add(l.HeaderTimeout))
-	if err := x.Request.Header.Read(c.br); err != nil {
+	if err := c.in.readHeader(&x.Request.Header, l.HeaderBytes); err != nil {
 		return errorStatus(err, fasthttp.StatusRequestHeaderFieldsTooLarge), err
 	}
 	x.closeAfter = x.Request.Header.ConnectionClose()
@@ -200,7 +220,7 @@
 		x.Request.Header.Del(fasthttp.HeaderExpect)
 	}
 	_ = c.nc.SetReadDeadline(time.Now().Add(bodyTimeout))
-	if err := x.Request.ContinueReadBody(c.br, l.BodyBytes, false); err != nil {
+	if err := c.in.readBody(&x.Request, l); err != nil {
 		return errorStatus(err, fasthttp.StatusRequestEntityTooLarge), err
 	}
 	return 0, nil
@@ -221,7 +241,9 @@
 func errorStatus(err error, tooLarge int) int {
 	var small *fasthttp.ErrSmallBuffer
 	switch {
-	case errors.As(err, &small), errors.Is(err, fasthttp.ErrBodyTooLarge):
+	case errors.Is(err, errNoHeaderSpace):
+		return fasthttp.StatusServiceUnavailable
+	case errors.As(err, &small), errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, errHeaderTooLarge):
 		return tooLarge
 	case isTimeout(err):
 		return fasthttp.StatusRequestTimeout
@@ -284,6 +306,7 @@
 func (c *conn) endExchange() {
 	c.mu.Lock()
 	c.pending--
+	c.idleSince = time.Now()
 	c.mu.Unlock()
 	c.server.openRequests.Add(-1)
 }
--- a/process/proxier/proxier.go
+++ b/process/proxier/proxier.go
@@ -50,7 +50,10 @@
 )
 
 const (
-	maxPeerHeaderBytes   = 64 << 10
+	// minPeerHeaderBytes is the least limit on the header of a request from another node,
+	// and addedHeaderBytes bounds what an entry node adds to that of its caller.
+	minPeerHeaderBytes   = 1 << 20
+	addedHeaderBytes     = 64 << 10
 	maxPeerBodyBytes     = 128 << 20
 	peerIdleTimeout      = 60 * time.Second
 	announceTimeout      = 5 * time.Second
@@ -58,12 +61,12 @@
 	bytesPerMegabit      = 1e6 / 8
 	drainPollInterval    = 20 * time.Millisecond
 	leaveTimeout         = time.Second
-	// maxCallerWait and minCallerWait bound the wait for callers to change to another
-	// node; callers check the readiness of the node each second.
-	maxCallerWait = 2400 * time.Millisecond
 	// departureTimeout is less than the second for which targets wait for an
 	// acknowledgement.
 	departureTimeout = 850 * time.Millisecond
+	// maxCallerWait and minCallerWait bound the wait for callers to change to another
+	// node; callers check the readiness of the node each second.
+	maxCallerWait = 2400 * time.Millisecond
 	minCallerWait = time.Second
 	// stopMargin is the time between the deadline for requests in flight and the end
 	// of the stop time in the settings.
@@ -167,7 +170,7 @@
 		MaxConfirmationAge: n.MaxConfirmationAge.AsDuration(),
 	}
 	p.entry = &acceptor.Server{Handler: p.receiver.Handle, Limits: p.callerLimits}
-	p.peer = &acceptor.Server{Handler: p.executor.Handle, Limits: peerLimits}
+	p.peer = &acceptor.Server{Handler: p.executor.Handle, Limits: p.peerLimits}
 	return nil
 }
 
@@ -222,9 +225,10 @@
 }
 
 // peerLimits returns limits that every request accepted by an entry node meets, with
-// the headers that the entry node adds.
-func peerLimits() acceptor.Limits {
-	return acceptor.Limits{HeaderBytes: maxPeerHeaderBytes, BodyBytes: maxPeerBodyBytes, IdleTimeout: peerIdleTimeout}
+// the headers that the entry node adds. The entry node may have a newer configuration.
+func (p *Proxier) peerLimits() acceptor.Limits {
+	header := max(minPeerHeaderBytes, p.callerLimits().HeaderBytes+addedHeaderBytes)
+	return acceptor.Limits{HeaderBytes: header, BodyBytes: maxPeerBodyBytes, IdleTimeout: peerIdleTimeout}
 }
 
 // crashReporter sends reports of target crashes to the control hosts.
@@ -403,8 +407,8 @@
 		status = fiber.StatusNotFound
 	case registrar.KindFull:
 		status = fiber.StatusTooManyRequests
+	case registrar.KindUnconfirmed:
+		status = fiber.StatusServiceUnavailable
 	}
 	return fiber.NewError(status, err.Error())
 }
-	case registrar.KindUnconfirmed:
-		status = fiber.StatusServiceUnavailable
