Hosts learn the addresses of the present members from their messages

Callers of the mesh noticed nothing.

Cause: a host whose log is empty knows only the membership that the groups began with. Its replies to a leader that joined later had no address and were dropped without a word, so the leader took it for silent. Ruled out: hosts that do not find the leader (they are added within 1.2 s), a claims group that differs from the configuration group (the same in both). Missing logs, added: dropped messages with the reason, and what the leader knows of a member that it is about to change.

Change: a delivery of messages carries the address of its sender, and a host prefers what another host says of itself to its log and the first membership. The same cause on related paths: a host that is no member yet named the first members to nodes and searched only among them; it asked one of the named leaders and ignored its redirect. A second cause, found by the test: a replaced voter was removed 4.06 s and more after its last reply, later than the 4 s after which the platform may take the next host. The timeout is 2.5 s, and a promotion is followed by the removal at once.

TestNodeWithFewHostsGetsOnlyAddresses also checks a host that is no member.

--- a/connection/messenger/message.go
+++ b/connection/messenger/message.go
@@ -62,6 +62,7 @@
 type DeliverArgs struct {
 	Group     string
 	Envelopes []replicator.Envelope
+	Sender    string // Sender is the address at which the sending host receives replies.
 }
 
 // ConfirmArgs requests a read index from the leader of a group.
@@ -122,10 +123,10 @@
 	// VersionAge is how long the control host has had the configuration version of the
 	// update, zero when it does not know. It is an age, since clocks differ between hosts.
 	VersionAge time.Duration
-}
 	// Departures are the targets of the node that have left. They are set for a node that
 	// requests the whole state, since it may have restarted.
 	Departures []applier.Departure
+}
 
 // CommandArgs proposes a command to a group.
 type CommandArgs struct {
--- a/process/controller/bootstrap.go
+++ b/process/controller/bootstrap.go
@@ -136,6 +136,7 @@
 	out := []messenger.IdentifyReply{c.identify()}
 	for _, r := range replies {
 		if r != nil {
+			c.addresses.record(r.ID, r.Address)
 			out = append(out, *r)
 		}
 	}
--- a/process/controller/chooser.go
+++ b/process/controller/chooser.go
@@ -10,8 +10,10 @@
 
 const (
 	// memberTimeout is the time without a reply after which a member is replaced,
-	// or removed if the group has enough voters without it.
-	memberTimeout = 4 * time.Second
+	// or removed if the group has enough voters without it. With the changes themselves it
+	// stays well below the 4 s after which the platform may take the next host: until the
+	// lost voter is removed, the group has no other one to spare.
+	memberTimeout = 2500 * time.Millisecond
 	// maxPromoteReplyAge is the maximum time since the last reply of a learner that
 	// is promoted to voter.
 	maxPromoteReplyAge = 500 * time.Millisecond
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -12,8 +12,8 @@
 //	err := c.Open()
 //	err = c.Run(ctx)
 //
-// Lock order: nodeTable.mu, batcher.mu, readIndexer.mu and packer.mu are leaf
-// locks; no other lock is taken while one of them is held. No lock is held during
+// Lock order: nodeTable.mu, batcher.mu, readIndexer.mu, packer.mu and addressBook.mu are
+// leaf locks; no other lock is taken while one of them is held. No lock is held during
 // a call to a group or to another host.
 package controller
 
@@ -120,6 +120,7 @@
 
 	identityMu sync.Mutex // identityMu guards identity.InitialMembership until the host has joined.
 	identity   Identity
+	addresses  addressBook
 
 	pool *messenger.Pool
 	// groupPool carries only the messages of the groups: a call that times out closes
@@ -205,7 +206,8 @@
 
 // newGroupReplica returns a replica of a group that is not open yet.
 func (c *Controller) newGroupReplica(name string, a replicator.Applier) *groupReplica {
-	s := &sender{pool: c.groupPool, group: name, addressOf: c.addressOf}
+	s := &sender{pool: c.groupPool, group: name, self: c.RPCAddress, addressOf: c.addressOf,
+		onDrop: func(e replicator.Envelope, reason string) { c.logDrop(name, e, reason) }}
 	snapshotBytes := replicator.DefaultSnapshotBytes
 	if name == messenger.GroupConfig {
 		snapshotBytes = configSnapshotBytes
@@ -218,11 +220,11 @@
 	}}
 }
 
-// logEvent logs an event of a group.
-func (c *Controller) logEvent(group string, n replicator.Event) {
 // diskFailures counts the outages of this host's disk, as each group saw them.
 var diskFailures = metrics.NewCounter("hornbeam_disk_failures_total")
 
+// logEvent logs an event of a group.
+func (c *Controller) logEvent(group string, n replicator.Event) {
 	switch n := n.(type) {
 	case replicator.RoleChange:
 		c.Log.Info("role in the group changed", "group", group, "role", n.Role, "term", n.Term, "leader", c.addressOf(n.Leader), "cause", n.Cause, "silentMs", n.SinceContact.Milliseconds())
@@ -230,13 +232,13 @@
 		c.Log.Info("log of the group compacted", "group", group, "index", n.Index, "bytes", n.Bytes)
 	case replicator.Restoration:
 		c.Log.Info("snapshot of the group received from its leader", "group", group, "index", n.Index, "bytes", n.Bytes)
-	}
-}
 	case replicator.DiskFailure:
 		diskFailures.Inc()
 		c.Log.Error("replica of the group paused, since its disk refuses writes; free disk space", "group", group, "err", n.Err)
 	case replicator.DiskRecovery:
 		c.Log.Info("replica of the group continues, since its disk works again", "group", group, "attempts", n.Attempts, "pausedMs", n.Outage.Milliseconds())
+	}
+}
 
 // electionSeed derives the seed of the random election timeouts from an identity.
 func electionSeed(id string) uint64 {
@@ -286,8 +288,6 @@
 	return nil
 }
 
-// open creates the folder of the group and opens it.
-func (m *groupReplica) open(initial replicator.Membership) error {
 // openReplica opens this host's replica of a group. It tries again while the disk fails,
 // until ctx ends, since this process may also run a node. It returns other errors at once.
 func (c *Controller) openReplica(ctx context.Context, m *groupReplica) error {
@@ -314,6 +314,8 @@
 	return recorder.IsKind(err, recorder.KindIO) || errors.As(err, &e) && e.Kind == KindDisk
 }
 
+// open creates the folder of the group and opens it.
+func (m *groupReplica) open(initial replicator.Membership) error {
 	folder, ok := m.group.Recorder.Disk.(recorder.Folder)
 	if ok {
 		if err := folder.Create(); err != nil {
@@ -386,21 +388,6 @@
 	return nil, 0, false
 }
 
-// addressOf returns the address of a member from the memberships that this host
-// stores, or an empty string for an unknown member.
-func (c *Controller) addressOf(id string) string {
-	for _, m := range c.replicas {
-		if !c.joined.Load() {
-			break
-		}
-		if mem, ok := m.group.Status().Membership.Find(id); ok {
-			return mem.Address
-		}
-	}
-	mem, _ := c.initialMembership().Find(id)
-	return mem.Address
-}
-
 // redirect returns a redirect to the leader of a group. Its address is empty when
 // there is no leader, or this host itself leads.
 func (c *Controller) redirect(m *groupReplica) messenger.Redirect {
--- a/process/controller/members.go
+++ b/process/controller/members.go
@@ -26,7 +26,7 @@
 			_, member := s.Membership.Find(c.identity.ID)
 			switch {
 			case s.Role == replicator.RoleLeader:
-				c.adjustMembers(ctx, m, s)
+				c.adjustMembers(ctx, m)
 			case !member || s.Leader == "":
 				c.requestJoin(ctx, m)
 			}
@@ -34,33 +34,50 @@
 	}
 }
 
-// memberAddresses returns the addresses of the members of the configuration
-// group.
+// memberAddresses returns the addresses of the members of the configuration group. It
+// returns none while this host is no member: the membership that it knows may be the one
+// that the groups began with, whose hosts may all be gone.
 func (c *Controller) memberAddresses() []string {
+	members := c.replicas[configIndex].group.Status().Membership
+	if _, ok := members.Find(c.identity.ID); !ok {
+		return nil
+	}
 	var out []string
-	for _, mem := range c.replicas[configIndex].group.Status().Membership.Members {
+	for _, mem := range members.Members {
 		out = append(out, mem.Address)
 	}
 	return out
 }
 
-// requestJoin requests membership of a group from its leader.
+// requestJoin requests membership of a group from the hosts that other hosts name as its
+// leader, until one of them has taken the request.
 func (c *Controller) requestJoin(ctx context.Context, m *groupReplica) {
 	args := messenger.JoinArgs{Group: m.group.Name, Member: replicator.Member{ID: c.identity.ID, Name: c.Name, Address: c.RPCAddress}}
-	leader := ""
+	var leaders, members []string
 	for _, r := range c.identifyHosts(ctx) {
-		if l := r.Leaders[m.group.Name]; l != "" && l != c.RPCAddress {
-			leader = l
+		if l := r.Leaders[m.group.Name]; l != "" && l != c.RPCAddress && !slices.Contains(leaders, l) {
+			leaders = append(leaders, l)
 		}
+		members = append(members, r.Members...)
 	}
-	if leader == "" {
-		return
+	slices.Sort(members)
+	c.Hosts.SetMembers(slices.Compact(members))
+	for _, leader := range leaders {
+		if c.requestJoinAt(ctx, leader, args) {
+			return
+		}
 	}
+}
+
+// requestJoinAt requests membership from one host and reports whether that host leads the
+// group and has taken the request.
+func (c *Controller) requestJoinAt(ctx context.Context, leader string, args messenger.JoinArgs) bool {
 	call, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	var reply messenger.CommandReply
 	err := c.pool.Get(leader).Call(call, messenger.MethodJoin, args, &reply)
-	c.Log.Debug("membership of the group requested", "group", m.group.Name, "leader", leader, "failure", reply.Failure, "err", err)
+	c.Log.Debug("membership of the group requested", "group", args.Group, "leader", leader, "notLeader", reply.NotLeader, "failure", reply.Failure, "err", err)
+	return err == nil && !reply.NotLeader && reply.Failure == ""
 }
 
 // admitHost takes the next step towards making a host a member. An existing member
@@ -71,6 +88,7 @@
 	if !ok || !c.joined.Load() {
 		return messenger.CommandReply{Redirect: messenger.Redirect{NotLeader: true}}
 	}
+	c.addresses.record(args.Member.ID, args.Member.Address)
 	members := m.group.Status().Membership
 	change := messenger.MemberArgs{Group: args.Group, Action: messenger.MemberAdd, Member: args.Member}
 	replaced := slices.IndexFunc(members.Members, func(o replicator.Member) bool {
@@ -97,15 +115,33 @@
 	return reply
 }
 
-// adjustMembers makes the next membership change of a group that this host leads,
-// if one is due.
-func (c *Controller) adjustMembers(ctx context.Context, m *groupReplica, s replicator.Status) {
-	chooser := voterChooser{now: clock.Now(), wantedVoters: c.VoterCount, initialVoters: len(c.initialMembership().Members)}
-	action, mem, ok := chooser.nextChange(s)
-	if !ok {
-		return
+// maxChangesInTurn bounds the membership changes that adjustMembers makes at once.
+const maxChangesInTurn = 4
+
+// adjustMembers makes the membership changes of a group that this host leads which are due,
+// one right after the other: between the promotion of a learner and the removal of the
+// lost voter that it replaces, the group has one voter more and none to spare.
+func (c *Controller) adjustMembers(ctx context.Context, m *groupReplica) {
+	for range maxChangesInTurn {
+		chooser := voterChooser{now: clock.Now(), wantedVoters: c.VoterCount, initialVoters: len(c.initialMembership().Members)}
+		s := m.group.Status()
+		action, mem, ok := chooser.nextChange(s)
+		if !ok || s.Role != replicator.RoleLeader || !c.makeChange(ctx, m, s, action, mem) {
+			return
+		}
 	}
+}
+
+// makeChange makes one membership change, logs it with what the leader knows of the member,
+// and reports whether it was made.
+func (c *Controller) makeChange(ctx context.Context, m *groupReplica, s replicator.Status, action messenger.MemberAction, mem replicator.Member) bool {
 	call, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	c.changeMemberAndLog(call, messenger.MemberArgs{Group: m.group.Name, Action: action, Member: mem})
+	silent := time.Duration(0)
+	if at, ok := s.LastContact(mem.ID); ok {
+		silent = clock.Now().Sub(at)
+	}
+	c.Log.Info("membership change due", "group", m.group.Name, "action", action, "member", mem.Name, "silentMs", silent.Milliseconds(), "lags", s.Lags(mem.ID), "voters", len(s.Membership.Voters()), "members", len(s.Membership.Members))
+	reply := c.changeMemberAndLog(call, messenger.MemberArgs{Group: m.group.Name, Action: action, Member: mem})
+	return !reply.NotLeader && reply.Failure == ""
 }
--- a/process/controller/methods.go
+++ b/process/controller/methods.go
@@ -46,6 +46,9 @@
 	// all addresses first, so that it connects to its assigned host before the seed
 	// spends a read-index round and an update on it.
 	reply.Hosts = c.memberAddresses()
+	if len(reply.Hosts) == 0 {
+		return nil
+	}
 	if args.Known < len(reply.Hosts) {
 		return nil
 	}
@@ -69,12 +72,12 @@
 			b, err := c.packer.pack(update)
 			reply.Update, reply.Confirmed = b, err == nil
 			reply.VersionAge = c.versions.age(state.Version, time.Now())
-			return err
-		}
-		if awaitChange(ctx, changed, left) {
 			if args.Have == (differ.Have{}) {
 				reply.Departures = state.DeparturesOf(args.Report.Node)
 			}
+			return err
+		}
+		if awaitChange(ctx, changed, left) {
 			sleeper.Sleep(ctx, syncSettleDelay)
 		}
 	}
@@ -166,6 +169,7 @@
 		return errors.New("this control host has not joined its groups yet, or the group is unknown")
 	}
 	for _, e := range args.Envelopes {
+		m.c.addresses.record(e.From, args.Sender)
 		mem.group.Deliver(e)
 	}
 	return nil
--- a/process/controller/methods_test.go
+++ b/process/controller/methods_test.go
@@ -31,6 +31,10 @@
 	is.NoErr(m.Sync(messenger.SyncArgs{Known: 1}, &reply))
 	is.Equal(len(reply.Hosts), 0) // the host has not joined yet
 	c.joined.Store(true)
+	c.identity.ID = "new"
+	is.NoErr(m.Sync(messenger.SyncArgs{Known: 1}, &reply))
+	is.Equal(len(reply.Hosts), 0) // it is no member, so these may be hosts that are gone
+	c.identity.ID = "m0"
 	is.NoErr(m.Sync(messenger.SyncArgs{Known: 1}, &reply))
 	is.Equal(len(reply.Hosts), hosts)
 	is.True(!reply.Confirmed)
--- a/process/controller/transport.go
+++ b/process/controller/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/rpc"
@@ -31,7 +32,9 @@
 type sender struct {
 	pool      *messenger.Pool
 	group     string
+	self      string // self is the address at which this host receives replies.
 	addressOf func(id string) string
+	onDrop    func(e replicator.Envelope, reason string) // onDrop, when set, is called for a dropped message.
 
 	mu       sync.Mutex
 	outboxes map[string]chan replicator.Envelope
@@ -39,20 +42,35 @@
 	workers  conc.WaitGroup
 }
 
-// Send implements replicator.Sender. A message is dropped and counted when the
-// outbox is full, and dropped when the member's address is unknown.
+// The reasons for which a message is dropped.
+const (
+	dropFull    = "full"    // dropFull means that the outbox of the member is full.
+	dropUnknown = "unknown" // dropUnknown means that no address of the member is known.
+)
+
+// Send implements replicator.Sender. A message is dropped and counted when the outbox is
+// full or the member's address is unknown.
 func (s *sender) Send(to replicator.Member, e replicator.Envelope) {
-	address := to.Address
+	address := s.addressOf(to.ID)
 	if address == "" {
-		address = s.addressOf(to.ID)
+		address = to.Address
 	}
 	if address == "" {
+		s.drop(e, dropUnknown)
 		return
 	}
 	select {
 	case s.outboxFor(address) <- e:
 	default:
-		metrics.GetOrCreateCounter("hornbeam_peer_messages_dropped_total").Inc()
+		s.drop(e, dropFull)
+	}
+}
+
+// drop counts a message that is not sent.
+func (s *sender) drop(e replicator.Envelope, reason string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`hornbeam_peer_messages_dropped_total{group=%q,reason=%q}`, s.group, reason)).Inc()
+	if s.onDrop != nil {
+		s.onDrop(e, reason)
 	}
 }
 
@@ -117,7 +135,7 @@
 func (s *sender) deliver(ctx context.Context, address string, envelopes []replicator.Envelope) {
 	call, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	args := messenger.DeliverArgs{Group: s.group, Envelopes: envelopes}
+	args := messenger.DeliverArgs{Group: s.group, Envelopes: envelopes, Sender: s.self}
 	// The error is ignored: the replication protocol sends lost messages again.
 	_ = s.pool.Get(address).Call(call, messenger.MethodDeliver, args, &messenger.Empty{})
 }
