Bodies without end take a bounded memory

Cause: what was bounded is the bytes that had arrived. The buffer of a body of unknown length was enlarged by copying, a chunk or a length that was only announced took its space at once, and what had been given up stayed until it was collected. Ruled out: heads and interim responses (given up at once, as before).

Change: a body over 64 KB, or of unknown length, is read into blocks of a pool of 32 MB (package assembler), 8 MB of which only bodies below 1 MB may take, and copied into one piece when it is complete. Blocks of a body that is given up are used again at once.

--- a/request/forwarder/conn.go
+++ b/request/forwarder/conn.go
@@ -12,6 +12,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/hornbeamrack/hornbeamrack/common/assembler"
 )
 
 const (
@@ -69,10 +71,6 @@
 	br        *bufio.Reader
 	bw        *bufio.Writer
 
-	// Only the reading goroutine uses these two.
-	counting     bool  // counting means that received bytes stay in memory until the response ends.
-	countedBytes int64 // countedBytes is this connection's part of bufferedBytes.
-
 	// rejections is used by the reading goroutine, and by Forwarder while the connection is idle.
 	rejections rejections
 
@@ -87,45 +85,12 @@
 // newPersistConn returns a connection of f. The caller starts readLoop.
 func newPersistConn(f *Forwarder, conn net.Conn) *persistConn {
 	pc := &persistConn{forwarder: f, netConn: conn, idleTimeout: defaultIdleTimeout, bw: bufio.NewWriterSize(conn, writeBufferBytes)}
-	pc.br = bufio.NewReaderSize(boundedReader{pc}, readBufferBytes)
+	pc.br = bufio.NewReaderSize(conn, readBufferBytes)
 	return pc
 }
 
-// bufferedBytes is the number of bytes of incomplete responses in the memory of
-// this process.
-var bufferedBytes atomic.Int64
-
-// boundedReader reads from a connection. It fails when MaxBufferedBytes is exceeded
-// and this response is larger than fairResponseBytes, so that an endless response
-// does not exhaust the memory for others.
-type boundedReader struct{ conn *persistConn }
-
-// Read reads received bytes from the connection and, while a response is counted, adds
-// their number to bufferedBytes. It returns an error without reading when the bounds of
-// boundedReader are exceeded.
-func (r boundedReader) Read(p []byte) (int, error) {
-	pc := r.conn
-	if !pc.counting {
-		return pc.netConn.Read(p)
-	}
-	if all := bufferedBytes.Load(); all > MaxBufferedBytes && pc.countedBytes > fairResponseBytes {
-		return 0, errors.Errorf("too many bytes of incomplete responses: %d in this response, %d in total", pc.countedBytes, all)
-	}
-	n, err := pc.netConn.Read(p)
-	pc.countedBytes += int64(n)
-	bufferedBytes.Add(int64(n))
-	return n, err
-}
-
-// countBytes adds received bytes to bufferedBytes until the returned function is
-// called, which subtracts them again.
-func (pc *persistConn) countBytes() (stop func()) {
-	pc.counting = true
-	return func() {
-		bufferedBytes.Add(-pc.countedBytes)
-		pc.counting, pc.countedBytes = false, 0
-	}
-}
+// responseBodies holds the bodies of responses that this process is reading.
+var responseBodies = &assembler.Pool{MaxBytes: MaxBufferedBytes, ReservedBytes: reservedResponseBytes}
 
 // begin makes c the connection's current call. It returns false if the connection
 // is closed or the peer may be about to close it.
@@ -255,18 +220,43 @@
 	if c.stream {
 		return reusable, pc.passBody(c)
 	}
-	defer pc.countBytes()()
-	if err := c.resp.ReadBody(pc.br, MaxResponseBytes); err != nil {
+	if err := pc.readBody(c); err != nil {
 		return false, errors.Wrap(err, "read the response body")
 	}
-	if h.ContentLength() == -1 {
-		if err := h.ReadTrailer(pc.br); err != nil {
-			return false, errors.Wrap(err, "read the response trailer")
-		}
-	}
 	return reusable, nil
 }
 
+// readBody reads the body of a response that is not streamed, with its trailer. A long body,
+// or one of unknown length, is read into bounded memory first.
+func (pc *persistConn) readBody(c *callState) error {
+	resp := c.resp
+	length := resp.Header.ContentLength()
+	if length >= 0 && length <= directResponseBytes {
+		return resp.ReadBody(pc.br, MaxResponseBytes)
+	}
+	if length > MaxResponseBytes {
+		return errors.Errorf("the body of %d bytes is longer than %d bytes", length, MaxResponseBytes)
+	}
+	body := assembler.Body{Pool: responseBodies, MaxBytes: MaxResponseBytes, SmallBytes: fairResponseBytes}
+	defer body.Release()
+	resp.StreamBody = true
+	err := resp.ReadBody(pc.br, 0)
+	if err == nil {
+		err = body.ReadAll(resp.BodyStream())
+	}
+	_ = resp.CloseBodyStream()
+	resp.StreamBody = false
+	if err != nil {
+		return err
+	}
+	content := body.Bytes()
+	resp.SetBodyRaw(content)
+	if length == -2 {
+		resp.Header.SetContentLength(len(content))
+	}
+	return nil
+}
+
 // readOwnHeader reads the header of the response to c. It discards the responses to
 // other requests that precede it. It fails if a response names no request, since neither
 // that one nor a later one can be assigned to c then.
@@ -333,15 +323,9 @@
 	if c.req.Header.IsHead() || h.ContentLength() == -2 {
 		return &Error{"do", KindUnmatched, errors.New("the response is to another request and its end is uncertain")}
 	}
-	defer pc.countBytes()()
-	if err := c.resp.ReadBody(pc.br, MaxResponseBytes); err != nil {
+	if err := pc.readBody(c); err != nil {
 		return errors.Wrap(err, "read the body of a response to another request")
 	}
-	if h.ContentLength() == -1 {
-		if err := h.ReadTrailer(pc.br); err != nil {
-			return errors.Wrap(err, "read the trailer of a response to another request")
-		}
-	}
 	c.resp.ResetBody()
 	return nil
 }
--- a/request/forwarder/endless_test.go
+++ b/request/forwarder/endless_test.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"runtime"
+	"runtime/debug"
+	"runtime/metrics"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -65,7 +68,7 @@
 			is.True(time.Since(start) < time.Minute)
 			<-closed // the connection was closed
 			is.True(sent.Load() <= row.maxBytes)
-			is.Equal(bufferedBytes.Load(), int64(0))
+			is.Equal(responseBodies.UsedBytes(), 0)
 		})
 	}
 }
@@ -109,9 +112,9 @@
 	for range many {
 		is.Equal(OutcomeOf(<-failures), OutcomeUnknown)
 	}
-	is.Equal(bufferedBytes.Load(), int64(0))
+	is.Equal(responseBodies.UsedBytes(), 0)
 	t.Logf("at most %d MB buffered, of %d MB that came from %d targets", most>>20, sent.Load()>>20, many)
-	is.True(most <= MaxBufferedBytes+many*2*fairResponseBytes)
+	is.True(most <= MaxBufferedBytes)
 }
 
 // TestReceiveBufferIsBounded guards against a receive buffer that the operating
@@ -138,7 +141,7 @@
 	is.True(held <= 8<<20)
 }
 
-// peakBufferedBytes returns the maximum of bufferedBytes until ended is closed.
+// peakBufferedBytes returns the maximum that bodies occupy until ended is closed.
 func peakBufferedBytes(ended <-chan struct{}) int64 {
 	most := int64(0)
 	for {
@@ -146,8 +149,69 @@
 		case <-ended:
 			return most
 		default:
-			most = max(most, bufferedBytes.Load())
+			most = max(most, int64(responseBodies.UsedBytes()))
 			runtime.Gosched()
 		}
 	}
 }
+
+// TestEndlessBodiesFillTheHeap guards against endless bodies that occupy several times
+// MaxBufferedBytes: in buffers that are enlarged by copying, in space for a chunk that is only
+// announced, and in bodies that were given up and are not collected yet.
+func TestEndlessBodiesFillTheHeap(t *testing.T) {
+	const chunkBytes = 4 << 20
+	rows := []struct{ name, head, piece string }{
+		{"large chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", fmt.Sprintf("%x\r\n%s\r\n", chunkBytes, strings.Repeat("x", chunkBytes))},
+		{"small chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("x", 0x400) + "\r\n"},
+		{"chunks that are only announced", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nf00000\r\n", "x"},
+		{"lengths that are only announced", "HTTP/1.1 200 OK\r\nContent-Length: 16000000\r\n\r\n", "x"},
+		{"body until the connection ends", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", strings.Repeat("x", 0x10000)},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			var sent atomic.Int64
+			head, piece := []byte(row.head), []byte(row.piece)
+			address := startTarget(t, func(_ int, conn net.Conn, r *bufio.Reader) {
+				if _, ok := readHeader(r); !ok {
+					return
+				}
+				_, err := conn.Write(head)
+				for n := 0; err == nil; sent.Add(int64(n)) {
+					n, err = conn.Write(piece)
+				}
+			})
+			defer debug.SetGCPercent(debug.SetGCPercent(100))
+			runtime.GC()
+			before := heapBytes()
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			f := &Forwarder{Address: address, MaxConnections: 12}
+			var calls sync.WaitGroup
+			for range 12 {
+				calls.Go(func() {
+					for ctx.Err() == nil {
+						var resp fasthttp.Response
+						_ = f.Do(ctx, newRequest("/"), &resp, time.Now().Add(300*time.Millisecond), Identity{})
+					}
+				})
+			}
+			most := int64(0)
+			for ctx.Err() == nil {
+				most = max(most, heapBytes()-before)
+				time.Sleep(time.Millisecond)
+			}
+			calls.Wait()
+			t.Logf("at most %d MB on the heap, %d MB sent", most>>20, sent.Load()>>20)
+			is.True(most <= 2*MaxBufferedBytes)
+		})
+	}
+}
+
+// heapBytes returns the size of all objects on the heap, also of those that are not in use
+// any more and not collected yet.
+func heapBytes() int64 {
+	sample := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+	metrics.Read(sample)
+	return int64(sample[0].Value.Uint64())
+}
--- a/request/forwarder/forwarder.go
+++ b/request/forwarder/forwarder.go
@@ -43,13 +43,17 @@
 	StallTimeout = 10 * time.Second
 	// MaxResponseBytes bounds the body of a response that is not streamed.
 	MaxResponseBytes = 16 << 20
-	// MaxBufferedBytes bounds the total size of all such responses that this
+	// MaxBufferedBytes bounds the memory that all such responses occupy which this
 	// process is reading: a few endless responses must not exhaust the memory for
 	// all others.
 	MaxBufferedBytes = 32 << 20
-	// fairResponseBytes is the size up to which a response is read even when
-	// MaxBufferedBytes is exceeded.
-	fairResponseBytes = 1 << 20
+	// reservedResponseBytes is the part of MaxBufferedBytes that only responses of up to
+	// fairResponseBytes may occupy.
+	reservedResponseBytes = 8 << 20
+	fairResponseBytes     = 1 << 20
+	// directResponseBytes is the declared length up to which a body is read into the buffer
+	// of the response itself.
+	directResponseBytes = 64 << 10
 	// receiveBufferBytes is the size of a connection's receive buffer. Without it
 	// the operating system enlarges the buffer for a peer that sends fast, up to
 	// tens of megabytes that no bound of this process covers.
