Bodies of open requests share a bound

Change: all bodies of open requests of a node take a third of the memory at which it is killed, a quarter of that for bodies below 64 KB; a body that does not fit is refused with 503 and Retry-After, which is true, since nothing was passed on. One that is larger than the bound is read while there is no other.

Tests: TestManyLongBodiesTakeAllMemory, TestLongBodyIsRefusedForGood (new bound; the code of before has no such memory to fill, so they don't compile on it).

--- a/common/assembler/assembler.go
+++ b/common/assembler/assembler.go
@@ -55,36 +55,68 @@
 	return errors.As(err, &e) && e.Kind == kind
 }
 
-// Pool holds the blocks of the bodies that are being read. Exported fields are set before
-// the first use. It is safe for concurrent use.
+// Pool bounds the memory of the bodies that are being read, and holds their blocks. Exported
+// fields are set before the first use. It is safe for concurrent use.
 type Pool struct {
-	MaxBytes      int // MaxBytes bounds the size of all blocks.
+	MaxBytes      int // MaxBytes bounds the size of all blocks and reservations.
 	ReservedBytes int // ReservedBytes is the part of MaxBytes that only small bodies may take.
 
 	mu   sync.Mutex
 	free [][]byte
-	used int // used is the number of blocks that bodies have taken.
+	used int // used is the size of all blocks that are taken and of all reservations.
 }
 
-// UsedBytes returns the size of the blocks that bodies have taken.
+// UsedBytes returns the size of the blocks that are taken and of the reservations.
 func (p *Pool) UsedBytes() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.used * BlockBytes
+	return p.used
 }
 
-// take returns a block, false if there is none for a body of this kind.
-func (p *Pool) take(small bool) ([]byte, bool) {
+// Reserve reserves memory for a body of n bytes that is held in one piece, and reports
+// whether there is as much. A body that is larger than MaxBytes is allowed alone.
+func (p *Pool) Reserve(n int, small bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.add(n, small) || p.addAlone(n)
+}
+
+// Return ends a reservation of n bytes.
+func (p *Pool) Return(n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.used -= n
+}
+
+// add adds n bytes to those in use if the bounds allow it. p.mu is held.
+func (p *Pool) add(n int, small bool) bool {
 	limit := p.MaxBytes
 	if !small {
 		limit -= p.ReservedBytes
 	}
-	if (p.used+1)*BlockBytes > limit {
+	if p.used+n > limit {
+		return false
+	}
+	p.used += n
+	return true
+}
+
+// addAlone adds n bytes if nothing else is in use. p.mu is held.
+func (p *Pool) addAlone(n int) bool {
+	if p.used > 0 {
+		return false
+	}
+	p.used = n
+	return true
+}
+
+// take returns a block, false if there is none for a body of this kind.
+func (p *Pool) take(small bool) ([]byte, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.add(BlockBytes, small) {
 		return nil, false
 	}
-	p.used++
 	if n := len(p.free); n > 0 {
 		block := p.free[n-1]
 		p.free = p.free[:n-1]
@@ -97,7 +129,7 @@
 func (p *Pool) give(blocks [][]byte) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.used -= len(blocks)
+	p.used -= len(blocks) * BlockBytes
 	p.free = append(p.free, blocks...)
 }
 
@@ -143,6 +175,9 @@
 	return b.blocks[len(b.blocks)-1][b.length%BlockBytes:], nil
 }
 
+// Len returns the length of the body.
+func (b *Body) Len() int { return b.length }
+
 // Bytes returns the body in one piece, which later calls of Release do not affect.
 func (b *Body) Bytes() []byte {
 	out := make([]byte, 0, b.length)
--- a/connection/acceptor/acceptor.go
+++ b/connection/acceptor/acceptor.go
@@ -30,6 +30,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
+
+	"github.com/hornbeamrack/hornbeamrack/common/assembler"
 )
 
 const (
@@ -37,6 +39,8 @@
 	DefaultHeaderBytes = 16 << 10
 	// DefaultBodyBytes is the maximum size of a request body.
 	DefaultBodyBytes = 4 << 20
+	// DefaultBodyMemory bounds the bodies of all open requests of a server.
+	DefaultBodyMemory = 128 << 20
 	// DefaultHeaderTimeout is the maximum time from a request's first byte to the end of its header.
 	DefaultHeaderTimeout = 10 * time.Second
 	// DefaultIdleTimeout is the maximum wait for the next request on a connection.
@@ -48,6 +52,11 @@
 	maxPipelinedRequests = 16
 	maxConnections       = 3072
 	shutdownPollInterval = 10 * time.Millisecond
+	// retryAfterSeconds is the time after which memory for long headers and bodies is likely
+	// to be free again.
+	retryAfterSeconds = "1"
+	// reservedDivisor gives the part of the memory for bodies that is reserved for short ones.
+	reservedDivisor = 4
 	// lingerTimeout is how long a connection is kept open for reading after its last
 	// response. Closing it at once with unread bytes would reset it before the caller
 	// has received the response.
@@ -116,14 +125,19 @@
 	Limits func() Limits
 	// MalformedHandler, when set, fills in the response to a request that cannot be read.
 	MalformedHandler func(resp *fasthttp.Response, status int, detail string)
+	// Bodies bounds the bodies of all requests that are open. Servers may share it; each
+	// has one of DefaultBodyMemory when it is nil.
+	Bodies *assembler.Pool
 
 	mu               sync.Mutex
 	conns            map[*conn]struct{}
 	closed           bool
 	draining         atomic.Bool
 	openRequests     atomic.Int64
-	enlargedBytes    atomic.Int64 // enlargedBytes is the size of the read buffers beyond their initial one.
-	lastRequestNanos atomic.Int64 // lastRequestNanos is when the latest request was read, in Unix nanoseconds.
+	ownBodiesOnce    sync.Once
+	ownBodies        *assembler.Pool // ownBodies is used when Bodies is nil.
+	enlargedBytes    atomic.Int64    // enlargedBytes is the size of the read buffers beyond their initial one.
+	lastRequestNanos atomic.Int64    // lastRequestNanos is when the latest request was read, in Unix nanoseconds.
 }
 
 var (
@@ -232,9 +246,27 @@
 	return s.Limits().withDefaults()
 }
 
+// bodies returns the memory for the bodies of requests.
+func (s *Server) bodies() *assembler.Pool {
+	if s.Bodies != nil {
+		return s.Bodies
+	}
+	s.ownBodiesOnce.Do(func() { s.ownBodies = NewBodyMemory(DefaultBodyMemory) })
+	return s.ownBodies
+}
+
+// NewBodyMemory returns the memory of n bytes for the bodies of requests, a part of which is
+// reserved for short ones.
+func NewBodyMemory(n int) *assembler.Pool {
+	return &assembler.Pool{MaxBytes: n, ReservedBytes: n / reservedDivisor}
+}
+
 // respondMalformed fills in the response to a request that cannot be read.
 func (s *Server) respondMalformed(resp *fasthttp.Response, status int, detail string) {
 	malformedTotal.Inc()
+	if status == fasthttp.StatusServiceUnavailable {
+		resp.Header.Set(fasthttp.HeaderRetryAfter, retryAfterSeconds)
+	}
 	if s.MalformedHandler != nil {
 		s.MalformedHandler(resp, status, detail)
 		return
--- a/connection/acceptor/conn.go
+++ b/connection/acceptor/conn.go
@@ -11,6 +11,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/hornbeamrack/hornbeamrack/common/assembler"
 )
 
 const (
@@ -81,10 +83,12 @@
 		previousSent = x.sent
 		status, err := c.readRequest(x)
 		if err != nil && status == 0 {
+			x.releaseBody()
 			c.peerDisconnected()
 			return
 		}
 		if !c.beginExchange() {
+			x.releaseBody()
 			_ = c.nc.SetReadDeadline(time.Now().Add(lingerTimeout))
 			c.awaitDisconnect()
 			return
@@ -119,6 +123,7 @@
 	case <-c.responsesEnded:
 	}
 	_ = x.Response.CloseBodyStream()
+	x.releaseBody()
 	c.endExchange()
 	<-c.slots
 }
@@ -220,7 +225,8 @@
 		x.Request.Header.Del(fasthttp.HeaderExpect)
 	}
 	_ = c.nc.SetReadDeadline(time.Now().Add(bodyTimeout))
-	if err := c.in.readBody(&x.Request, l); err != nil {
+	var err error
+	if x.reservedBytes, err = c.in.readBody(&x.Request, l, c.server.bodies()); err != nil {
 		return errorStatus(err, fasthttp.StatusRequestEntityTooLarge), err
 	}
 	return 0, nil
@@ -241,9 +247,9 @@
 func errorStatus(err error, tooLarge int) int {
 	var small *fasthttp.ErrSmallBuffer
 	switch {
-	case errors.Is(err, errNoHeaderSpace):
+	case errors.Is(err, errNoHeaderSpace), errors.Is(err, errNoBodySpace), assembler.IsKind(err, assembler.KindNoSpace):
 		return fasthttp.StatusServiceUnavailable
-	case errors.As(err, &small), errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, errHeaderTooLarge):
+	case errors.As(err, &small), errors.Is(err, fasthttp.ErrBodyTooLarge), errors.Is(err, errHeaderTooLarge), assembler.IsKind(err, assembler.KindTooLarge):
 		return tooLarge
 	case isTimeout(err):
 		return fasthttp.StatusRequestTimeout
--- a/connection/acceptor/endless_test.go
+++ b/connection/acceptor/endless_test.go
@@ -97,3 +97,79 @@
 	t.Logf("%d KB are buffered", buffered>>10)
 	is.True(buffered <= 8<<20)
 }
+
+// TestManyLongBodiesTakeAllMemory guards against bodies that the limit allows one by one and
+// that together take all memory, with a length and in chunks. Those that do not fit are
+// refused as not run, short ones are served meanwhile, and all memory is returned.
+func TestManyLongBodiesTakeAllMemory(t *testing.T) {
+	const bodyBytes = 1 << 20
+	chunk := "10000\r\n" + strings.Repeat("x", 0x10000) + "\r\n"
+	requests := map[string]string{
+		"length":                fmt.Sprintf("POST /long HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", bodyBytes, strings.Repeat("x", bodyBytes)),
+		"chunks":                "POST /long HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat(chunk, 16) + "0\r\n\r\n",
+		"length only announced": fmt.Sprintf("POST /long HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n", bodyBytes),
+		"chunks without end":    "POST /long HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat(chunk, 15),
+	}
+	for name, request := range requests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := &Server{Bodies: NewBodyMemory(4 * bodyBytes)}
+			release := make(chan struct{})
+			s.Limits = func() Limits { return Limits{BodyBytes: bodyBytes} }
+			s.Handler = func(x *Exchange) {
+				if string(x.Request.Header.RequestURI()) == "/long" {
+					<-release
+				}
+				x.Response.SetBodyString(fmt.Sprint(len(x.Request.Body())))
+			}
+			address := start(t, s)
+			var conns []net.Conn
+			for range 12 {
+				conn := dial(t, address, "")
+				conns = append(conns, conn)
+				go func() { _, _ = io.WriteString(conn, request) }()
+			}
+			for end := time.Now().Add(10 * time.Second); s.Bodies.UsedBytes() < 2*bodyBytes; time.Sleep(time.Millisecond) {
+				is.True(time.Now().Before(end)) // the bodies arrive
+			}
+			c := &fasthttp.HostClient{Addr: address}
+			for range 20 {
+				is.True(s.Bodies.UsedBytes() <= s.Bodies.MaxBytes)
+				status, body, err := c.Post(nil, "http://"+address+"/short", nil)
+				is.NoErr(err)
+				is.Equal(status, 200)
+				is.Equal(string(body), "0")
+			}
+			close(release)
+			for _, conn := range conns {
+				_ = conn.Close()
+			}
+			for end := time.Now().Add(10 * time.Second); s.Bodies.UsedBytes() > 0; time.Sleep(time.Millisecond) {
+				is.True(time.Now().Before(end)) // all memory is returned
+			}
+		})
+	}
+}
+
+// TestLongBodyIsRefusedForGood guards against a body that the limit allows and that is larger
+// than the memory for bodies: it must be read while there is no other one.
+func TestLongBodyIsRefusedForGood(t *testing.T) {
+	is := is.New(t)
+	s := &Server{Bodies: NewBodyMemory(1 << 20), Handler: func(x *Exchange) { x.Response.SetBodyString(fmt.Sprint(len(x.Request.Body()))) }}
+	address := start(t, s)
+	status, body, err := postBody(address, strings.Repeat("x", 3<<20))
+	is.NoErr(err)
+	is.Equal(status, 200)
+	is.Equal(body, fmt.Sprint(3<<20))
+}
+
+// postBody sends a body with its length and returns the status and the body of the response.
+func postBody(address, body string) (int, string, error) {
+	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
+	req.SetRequestURI("http://" + address + "/")
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetBodyString(body)
+	err := fasthttp.DoTimeout(req, resp, 10*time.Second)
+	return resp.StatusCode(), string(resp.Body()), err
+}
--- a/connection/acceptor/exchange.go
+++ b/connection/acceptor/exchange.go
@@ -24,6 +24,8 @@
 	sent        chan struct{} // sent is closed when this response is written and is not the last; it is earlierSent of the next exchange.
 	closeAfter  bool          // closeAfter means that the connection is closed after this response.
 	malformed   bool          // malformed means that the request could not be read; Response holds the error.
+	// reservedBytes is what the body has reserved of the memory for bodies.
+	reservedBytes int
 
 	mu           sync.Mutex
 	finalStarted bool // finalStarted means that no interim response may be sent any more.
@@ -47,6 +49,12 @@
 // a caller resends the requests that follow a response which closes the connection.
 func (x *Exchange) EarlierResponsesSent() <-chan struct{} { return x.earlierSent }
 
+// releaseBody returns the memory that the body has reserved.
+func (x *Exchange) releaseBody() {
+	x.conn.server.bodies().Return(x.reservedBytes)
+	x.reservedBytes = 0
+}
+
 // CloseAfterResponse closes the connection after this response.
 func (x *Exchange) CloseAfterResponse() { x.closeAfter = true }
 
--- a/connection/acceptor/reader.go
+++ b/connection/acceptor/reader.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/hornbeamrack/hornbeamrack/common/assembler"
 )
 
 const (
@@ -17,6 +19,11 @@
 	// maxEnlargedBytes bounds what the enlarged buffers of all connections of a server
 	// hold together.
 	maxEnlargedBytes = 16 << 20
+	// smallBodyBytes is the length up to which a body may take the reserved part of the
+	// memory for bodies.
+	smallBodyBytes = 64 << 10
+	// chunkedLength is the length that fasthttp gives to a chunked body.
+	chunkedLength = -1
 )
 
 var (
@@ -24,6 +31,8 @@
 	errHeaderTooLarge = errors.New("the request header is longer than the limit")
 	// errNoHeaderSpace means that the headers of other connections use maxEnlargedBytes.
 	errNoHeaderSpace = errors.New("too many long request headers are being read")
+	// errNoBodySpace means that the bodies of other requests use the memory for them.
+	errNoBodySpace = errors.New("too many long request bodies are being read")
 )
 
 // requestReader reads the requests of one connection. fasthttp parses a header only as a
@@ -124,13 +133,45 @@
 }
 
 // readBody reads the body that follows the header of req, with the trailers of a chunked
-// one, which fasthttp parses as a whole in the buffer like a header.
-func (r *requestReader) readBody(req *fasthttp.Request, l Limits) error {
-	chunked := req.Header.ContentLength() == -1
-	for chunked && r.br.Size() < l.HeaderBytes {
+// one, which fasthttp parses as a whole in the buffer like a header. It returns the bytes
+// that it has reserved in the pool, which the caller returns when req is done with.
+func (r *requestReader) readBody(req *fasthttp.Request, l Limits, pool *assembler.Pool) (reserved int, err error) {
+	length := req.Header.ContentLength()
+	if length == chunkedLength {
+		return r.readChunks(req, l, pool)
+	}
+	if length <= 0 || length > l.BodyBytes {
+		return 0, req.ContinueReadBody(r.br, l.BodyBytes, false)
+	}
+	if !pool.Reserve(length, length <= smallBodyBytes) {
+		return 0, errNoBodySpace
+	}
+	return length, req.ContinueReadBody(r.br, l.BodyBytes, false)
+}
+
+// readChunks reads a chunked body into the pool's blocks, and then into one piece.
+func (r *requestReader) readChunks(req *fasthttp.Request, l Limits, pool *assembler.Pool) (reserved int, err error) {
+	for r.br.Size() < l.HeaderBytes {
 		if err := r.enlarge(l.HeaderBytes); err != nil {
-			return err
+			return 0, err
 		}
 	}
-	return req.ContinueReadBody(r.br, l.BodyBytes, false)
+	body := assembler.Body{Pool: pool, MaxBytes: l.BodyBytes, SmallBytes: smallBodyBytes}
+	defer body.Release()
+	if err := req.ContinueReadBodyStream(r.br, l.BodyBytes, false); err != nil {
+		return 0, err
+	}
+	err = body.ReadAll(req.BodyStream())
+	_ = req.CloseBodyStream()
+	if err != nil {
+		return 0, err
+	}
+	if !pool.Reserve(body.Len(), body.Len() <= smallBodyBytes) {
+		return 0, errNoBodySpace
+	}
+	req.SetBodyRaw(body.Bytes())
+	if body.Len() == 0 {
+		req.Header.SetContentLength(0)
+	}
+	return body.Len(), nil
 }
--- a/process/proxier/proxier.go
+++ b/process/proxier/proxier.go
@@ -59,8 +59,10 @@
 	announceTimeout      = 5 * time.Second
 	maxAnnounceBodyBytes = 16 << 10
 	bytesPerMegabit      = 1e6 / 8
-	drainPollInterval    = 20 * time.Millisecond
-	leaveTimeout         = time.Second
+	// bodyMemoryDivisor gives the part of a node's memory that bodies of requests may take.
+	bodyMemoryDivisor = 3
+	drainPollInterval = 20 * time.Millisecond
+	leaveTimeout      = time.Second
 	// departureTimeout is less than the second for which targets wait for an
 	// acknowledgement.
 	departureTimeout = 850 * time.Millisecond
@@ -169,11 +171,21 @@
 		Tables: &p.tables, Registrar: p.registrar, Evidence: p.observer, Client: client, Log: p.Log, AsyncLogger: p.AsyncLogger, WrapConn: p.WrapConn,
 		MaxConfirmationAge: n.MaxConfirmationAge.AsDuration(),
 	}
-	p.entry = &acceptor.Server{Handler: p.receiver.Handle, Limits: p.callerLimits}
-	p.peer = &acceptor.Server{Handler: p.executor.Handle, Limits: p.peerLimits}
+	bodies := acceptor.NewBodyMemory(p.bodyMemory())
+	p.entry = &acceptor.Server{Handler: p.receiver.Handle, Limits: p.callerLimits, Bodies: bodies}
+	p.peer = &acceptor.Server{Handler: p.executor.Handle, Limits: p.peerLimits, Bodies: bodies}
 	return nil
 }
 
+// bodyMemory returns the memory for the bodies of open requests, in bytes: a part of the
+// memory at which the host kills this process, if that is known.
+func (p *Proxier) bodyMemory() int {
+	if p.Settings.HardLimitMB == 0 {
+		return acceptor.DefaultBodyMemory
+	}
+	return p.Settings.HardLimitMB << 20 / bodyMemoryDivisor
+}
+
 // SetOrigin sets the service of the targets on this host, empty for any. It may be
 // called while the node runs.
 func (p *Proxier) SetOrigin(service string) {
