--- a/process/controller/transport.go
+++ b/process/controller/transport.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/rpc"
@@ -66,9 +65,17 @@
 	}
 }
 
+var (
+	droppedMessages     = metrics.NewCounter("hornbeam_peer_messages_dropped_total")
+	unaddressedMessages = metrics.NewCounter("hornbeam_peer_messages_unaddressed_total")
+)
+
 // drop counts a message that is not sent.
 func (s *sender) drop(e replicator.Envelope, reason string) {
-	metrics.GetOrCreateCounter(fmt.Sprintf(`hornbeam_peer_messages_dropped_total{group=%q,reason=%q}`, s.group, reason)).Inc()
+	droppedMessages.Inc()
+	if reason == dropUnknown {
+		unaddressedMessages.Inc()
+	}
 	if s.onDrop != nil {
 		s.onDrop(e, reason)
 	}
