Count free blocks as memory of their pool

Found by reading: a pool kept the blocks of earlier chunked bodies beside as much memory again for bodies in one piece, so that it could hold twice its bound. TestFreeBlocksAreNotCounted.

--- a/common/assembler/assembler.go
+++ b/common/assembler/assembler.go
@@ -78,7 +78,21 @@
 func (p *Pool) Reserve(n int, small bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.add(n, small) || p.addAlone(n)
+	if !p.add(n, small) && !p.addAlone(n) {
+		return false
+	}
+	p.trimFree()
+	return true
+}
+
+// trimFree gives up free blocks that are beyond MaxBytes together with what is in use. p.mu
+// is held.
+func (p *Pool) trimFree() {
+	room := max(0, (p.MaxBytes-p.used)/BlockBytes)
+	if room < len(p.free) {
+		clear(p.free[room:])
+		p.free = p.free[:room]
+	}
 }
 
 // Return ends a reservation of n bytes.
--- a/common/assembler/assembler_test.go
+++ b/common/assembler/assembler_test.go
@@ -86,3 +86,21 @@
 	is.True(IsKind(err, KindRead))
 	is.True(errors.Is(err, io.ErrUnexpectedEOF))
 }
+
+// TestFreeBlocksAreNotCounted guards against a pool that holds the blocks of earlier bodies
+// beside as much memory again for a body in one piece.
+func TestFreeBlocksAreNotCounted(t *testing.T) {
+	is := is.New(t)
+	p := &Pool{MaxBytes: 10 * BlockBytes}
+	b := Body{Pool: p, MaxBytes: 1 << 30}
+	is.True(IsKind(b.ReadAll(endless{}), KindNoSpace))
+	b.Release()
+	is.Equal(len(p.free), 10)
+	is.True(p.Reserve(7*BlockBytes+1, false))
+	is.Equal(len(p.free), 2)
+	is.True(!p.Reserve(3*BlockBytes, false))
+	p.Return(7*BlockBytes + 1)
+	is.True(p.Reserve(100*BlockBytes, false)) // a body that is too large is held alone
+	is.True(!p.Reserve(1, true))
+	is.Equal(len(p.free), 0)
+}
