--- a/connection/registrar/registrar.go
+++ b/connection/registrar/registrar.go
@@ -247,9 +247,9 @@
 
 // MarkLeaving stops new requests to a target; requests in flight complete. startedAt
 // identifies the incarnation that leaves, in Unix milliseconds; 0 means the current
-// one, or any that has started by now if the target is not known. A leave of an earlier incarnation is ignored. The *Error has KindInvalid, and
-// nothing changes, if no target can have started then; it has KindUnknownTarget if there
-// is no such target.
+// one, or any that has started by now if the target is not known. A leave of an earlier
+// incarnation is ignored. The *Error has KindInvalid, and nothing changes, if no target can
+// have started then; it has KindUnknownTarget if there is no such target.
 func (r *Registrar) MarkLeaving(name string, startedAt int64) error {
 	if !isPossibleStart(startedAt, r.now()) {
 		return &Error{"leave", KindInvalid, errors.Errorf("startedAt %d is not a time in the past in Unix milliseconds", startedAt)}
