--- a/process/controller/chooser.go
+++ b/process/controller/chooser.go
@@ -9,11 +9,14 @@
 )
 
 const (
-	// memberTimeout is the time without a reply after which a member is replaced,
-	// or removed if the group has enough voters without it. With the changes themselves it
-	// stays well below the 4 s after which the platform may take the next host: until the
-	// lost voter is removed, the group has no other one to spare.
-	memberTimeout = 2500 * time.Millisecond
+	// voterTimeout is the time without a reply after which a voter is replaced, or removed
+	// if the group has enough voters without it. With the changes themselves it stays well
+	// below the 4 s after which the platform may take the next host: until the lost voter is
+	// removed, the group has no other one to spare.
+	voterTimeout = 2500 * time.Millisecond
+	// learnerTimeout is the time without a reply after which a learner is removed, which
+	// hurries nobody.
+	learnerTimeout = 4 * time.Second
 	// maxPromoteReplyAge is the maximum time since the last reply of a learner that
 	// is promoted to voter.
 	maxPromoteReplyAge = 500 * time.Millisecond
@@ -40,7 +43,10 @@
 	}
 	surplus := len(s.Membership.Voters()) > c.initialVoters
 	i := slices.IndexFunc(s.Membership.Members, func(m replicator.Member) bool {
-		return c.sinceLastReply(s, m) >= memberTimeout && (m.Learner || surplus)
+		if m.Learner {
+			return c.sinceLastReply(s, m) >= learnerTimeout
+		}
+		return surplus && c.sinceLastReply(s, m) >= voterTimeout
 	})
 	if i < 0 {
 		return "", replicator.Member{}, false
@@ -54,7 +60,7 @@
 func (c voterChooser) promotableLearner(s replicator.Status) (replicator.Member, bool) {
 	responsive := 0
 	for _, m := range s.Membership.Members {
-		if !m.Learner && c.sinceLastReply(s, m) < memberTimeout {
+		if !m.Learner && c.sinceLastReply(s, m) < voterTimeout {
 			responsive++
 		}
 	}
--- a/process/controller/chooser_test.go
+++ b/process/controller/chooser_test.go
@@ -94,7 +94,7 @@
 	c := newMembershipSim(10, 5)
 	c.settle(t, nil)
 	silent := map[string]bool{"m1": true, "m2": true}
-	c.now = c.now.Add(memberTimeout)
+	c.now = c.now.Add(voterTimeout)
 	for i := range 10 {
 		if id := fmt.Sprintf("m%d", i); i > 0 && !silent[id] {
 			c.recordReply(id)
--- a/process/controller/controller.go
+++ b/process/controller/controller.go
@@ -27,7 +27,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/charmbracelet/log"
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/conc"
@@ -53,9 +52,6 @@
 	// transferTimeout bounds the wait for a leadership transfer at a planned stop.
 	transferTimeout = time.Second
 	commandTimeout  = 600 * time.Millisecond
-	// diskRetryInterval is the pause between two attempts to open files on a disk that
-	// fails.
-	diskRetryInterval = 200 * time.Millisecond
 	// configSnapshotBytes is the log size that triggers a snapshot of the
 	// configuration group. It keeps the log that a restart reads short; the state is
 	// small and changes seldom.
@@ -220,9 +216,6 @@
 	}}
 }
 
-// diskFailures counts the outages of this host's disk, as each group saw them.
-var diskFailures = metrics.NewCounter("hornbeam_disk_failures_total")
-
 // logEvent logs an event of a group.
 func (c *Controller) logEvent(group string, n replicator.Event) {
 	switch n := n.(type) {
@@ -288,43 +281,6 @@
 	return nil
 }
 
-// openReplica opens this host's replica of a group. It tries again while the disk fails,
-// until ctx ends, since this process may also run a node. It returns other errors at once.
-func (c *Controller) openReplica(ctx context.Context, m *groupReplica) error {
-	failed := false
-	for {
-		err := m.open(c.identity.InitialMembership)
-		if !isDiskError(err) {
-			return err
-		}
-		if !failed {
-			c.Log.Error("replica of the group cannot be opened, since its disk fails; free disk space", "group", m.group.Name, "err", err)
-		}
-		failed = true
-		sleeper.Sleep(ctx, diskRetryInterval)
-		if ctx.Err() != nil {
-			return err
-		}
-	}
-}
-
-// isDiskError reports whether an error comes from a disk that may work again later.
-func isDiskError(err error) bool {
-	var e *Error
-	return recorder.IsKind(err, recorder.KindIO) || errors.As(err, &e) && e.Kind == KindDisk
-}
-
-// open creates the folder of the group and opens it.
-func (m *groupReplica) open(initial replicator.Membership) error {
-	folder, ok := m.group.Recorder.Disk.(recorder.Folder)
-	if ok {
-		if err := folder.Create(); err != nil {
-			return &Error{"open", KindDisk, err}
-		}
-	}
-	return m.group.Open(initial)
-}
-
 // runGroup runs a group until ctx ends. A state that cannot be encoded or restored stops
 // this host's replica of the group but not the process, which may also run a node.
 func (c *Controller) runGroup(ctx context.Context, m *groupReplica) {
--- a/process/replicator/replicator.go
+++ b/process/replicator/replicator.go
@@ -47,9 +47,6 @@
 	tickInterval  = 10 * time.Millisecond // tickInterval is the period of the ticker of Run.
 	inboxCapacity = 4096                  // inboxCapacity is in items; messages that do not fit are dropped.
 	maxBatchItems = 256                   // maxBatchItems bounds the inbox items that are handled before one sync.
-
-	// diskRetryInterval is the time between two attempts to repeat a failed write.
-	diskRetryInterval = 100 * time.Millisecond
 )
 
 // Applier is the state that a group replicates. A group calls it from one
@@ -204,13 +201,6 @@
 	rest     []recorder.Entry
 }
 
-// diskOutage is the time during which the disk refuses writes.
-type diskOutage struct {
-	since    time.Time
-	retryAt  time.Time
-	attempts int // attempts is the number of failed attempts to write.
-}
-
 // pendingEntry is a proposed entry whose proposer waits for the outcome. If an
 // entry of another term is applied at its index, the proposal was replaced.
 type pendingEntry struct {
@@ -308,13 +298,6 @@
 	}
 }
 
-// tick advances the time of the core, which stands still while the disk refuses writes.
-func (g *Group) tick() {
-	if g.outage == nil {
-		g.core.Tick(g.Now())
-	}
-}
-
 func (g *Group) handleItem(e inboxItem) {
 	if g.outage != nil {
 		rejectItem(e)
@@ -350,24 +333,6 @@
 	}
 }
 
-// rejectItem drops a message, and fails a request, while the disk refuses writes.
-func rejectItem(e inboxItem) {
-	var result chan outcome
-	switch e := e.(type) {
-	case receivedMessage:
-		return
-	case proposal:
-		result = e.result
-	case membershipChange:
-		result = e.result
-	case readIndexRequest:
-		result = e.result
-	case leadershipTransfer:
-		result = e.result
-	}
-	result <- outcome{err: &Error{"request", KindNotLeader, errors.New("the disk of this member refuses writes")}}
-}
-
 // addPending sends the outcome to result once the entry at index is applied, or err
 // at once if it is set.
 func (g *Group) addPending(index uint64, err error, result chan outcome) {
@@ -378,46 +343,6 @@
 	g.pending[index] = pendingEntry{term: g.core.TermAt(index), result: result}
 }
 
-// flush carries out the effects of the core. A write that the disk refuses begins an
-// outage, in which flush repeats that write every diskRetryInterval; its other errors
-// are final.
-func (g *Group) flush() error {
-	if g.outage != nil && g.Now().Before(g.outage.retryAt) {
-		return nil
-	}
-	err := g.Recorder.Recover()
-	if err == nil {
-		err = g.flushEffects()
-	}
-	switch {
-	case recorder.IsKind(err, recorder.KindIO):
-		g.recordDiskFailure(err)
-		return nil
-	case err == nil && g.outage != nil:
-		g.emitEvent(DiskRecovery{Attempts: g.outage.attempts, Outage: g.Now().Sub(g.outage.since)})
-		g.outage = nil
-	}
-	return err
-}
-
-// recordDiskFailure records a write that the disk has refused. The first one begins an
-// outage: this member steps down, since it cannot add to its log, and its unsent messages
-// are dropped, since they may be out of date once the disk works again.
-func (g *Group) recordDiskFailure(err error) {
-	now := g.Now()
-	if g.outage == nil {
-		g.outage = &diskOutage{since: now}
-		g.core.StepDown()
-		if g.unsaved != nil {
-			g.unsaved.Messages = nil
-		}
-		g.emitEvent(DiskFailure{Err: err})
-		g.publishStatus()
-	}
-	g.outage.attempts++
-	g.outage.retryAt = now.Add(diskRetryInterval)
-}
-
 // flushEffects carries out the effects of the core until there are none left: it
 // syncs first, then sends, then applies. Then it compacts the log if it is due. After
 // an error the next call goes on with the write that failed.
