State a host's address twice a second in place of each message

Every delivery of messages carried the address of its sender. The first delivery to a host states it, and one each half second, since that host may have restarted.

--- a/connection/messenger/message.go
+++ b/connection/messenger/message.go
@@ -62,7 +62,7 @@
 type DeliverArgs struct {
 	Group     string
 	Envelopes []replicator.Envelope
-	Sender    string // Sender is the address at which the sending host receives replies.
+	Sender    string // Sender is the address at which the sending host receives replies; empty when it was stated shortly before.
 }
 
 // ConfirmArgs requests a read index from the leader of a group.
--- a/process/controller/transport.go
+++ b/process/controller/transport.go
@@ -22,8 +22,10 @@
 	outboxCapacity = 1024
 	// maxDeliverBatch is the maximum number of messages that drainOutbox takes at once.
 	maxDeliverBatch = 64
-	prefaceTimeout  = 2 * time.Second
-	maxConnections  = 4096
+	// statementInterval is the time after which a host states its address again.
+	statementInterval = 500 * time.Millisecond
+	prefaceTimeout    = 2 * time.Second
+	maxConnections    = 4096
 )
 
 // sender delivers the messages of one group. Each member has an outbox and a
@@ -112,14 +114,26 @@
 	s.workers.Wait()
 }
 
-// deliverLoop delivers the messages of one outbox until ctx ends.
+// deliverLoop delivers the messages of one outbox until ctx ends. It states this host's own
+// address with the first delivery and every statementInterval, since the receiver may have
+// restarted.
 func (s *sender) deliverLoop(ctx context.Context, address string, box chan replicator.Envelope) {
+	var statedAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case e := <-box:
-			s.deliver(ctx, address, append([]replicator.Envelope{e}, drainOutbox(box)...))
+			args := messenger.DeliverArgs{Group: s.group, Envelopes: append([]replicator.Envelope{e}, drainOutbox(box)...)}
+			now := time.Now()
+			if now.Sub(statedAt) >= statementInterval {
+				args.Sender = s.self
+			}
+			// The error is ignored but for the statement: the replication protocol sends lost
+			// messages again.
+			if err := s.deliver(ctx, address, args); err == nil && args.Sender != "" {
+				statedAt = now
+			}
 		}
 	}
 }
@@ -139,12 +153,10 @@
 }
 
 // deliver sends messages to an address in one call.
-func (s *sender) deliver(ctx context.Context, address string, envelopes []replicator.Envelope) {
+func (s *sender) deliver(ctx context.Context, address string, args messenger.DeliverArgs) error {
 	call, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	args := messenger.DeliverArgs{Group: s.group, Envelopes: envelopes, Sender: s.self}
-	// The error is ignored: the replication protocol sends lost messages again.
-	_ = s.pool.Get(address).Call(call, messenger.MethodDeliver, args, &messenger.Empty{})
+	return s.pool.Get(address).Call(call, messenger.MethodDeliver, args, &messenger.Empty{})
 }
 
 // connectionSet stores all open connections, so that they can be closed when the
