Chunked requests take a buffer for short trailers only

Found by reading the change: a chunked request enlarged its connection's buffer to the limit on headers, for trailers that may be as long. With a limit of 1 MB more than 16 such requests at once would have been refused with 503. The buffer is enlarged to 64 KB at most for them.

Test: TestChunkedBodiesTakeHeaderMemory, red without the change.

--- a/connection/acceptor/endless_test.go
+++ b/connection/acceptor/endless_test.go
@@ -1,10 +1,12 @@
 package acceptor
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -182,3 +184,25 @@
 	err := fasthttp.DoTimeout(req, resp, 10*time.Second)
 	return resp.StatusCode(), string(resp.Body()), err
 }
+
+// TestChunkedBodiesTakeHeaderMemory guards against chunked requests that are refused because
+// each takes a buffer as large as the limit on headers, for trailers that it does not have.
+func TestChunkedBodiesTakeHeaderMemory(t *testing.T) {
+	is := is.New(t)
+	const callers = 40
+	limits := func() Limits { return Limits{HeaderBytes: 1 << 20} }
+	var running sync.WaitGroup
+	running.Add(callers)
+	address := start(t, &Server{Limits: limits, Handler: func(x *Exchange) {
+		running.Done()
+		running.Wait() // all requests are open at once
+		x.Response.SetBody(x.Request.Body())
+	}})
+	var readers []*bufio.Reader
+	for range callers {
+		readers = append(readers, bufio.NewReader(dial(t, address, "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n")))
+	}
+	for _, r := range readers {
+		is.Equal(readResponse(t, r), "body")
+	}
+}
--- a/connection/acceptor/reader.go
+++ b/connection/acceptor/reader.go
@@ -19,6 +19,9 @@
 	// maxEnlargedBytes bounds what the enlarged buffers of all connections of a server
 	// hold together.
 	maxEnlargedBytes = 16 << 20
+	// maxTrailerBytes bounds the trailers of a chunked body. The buffer is enlarged for them
+	// before the body is read, so the limit on headers would be too much.
+	maxTrailerBytes = 64 << 10
 	// smallBodyBytes is the length up to which a body may take the reserved part of the
 	// memory for bodies.
 	smallBodyBytes = 64 << 10
@@ -151,8 +154,8 @@
 
 // readChunks reads a chunked body into the pool's blocks, and then into one piece.
 func (r *requestReader) readChunks(req *fasthttp.Request, l Limits, pool *assembler.Pool) (reserved int, err error) {
-	for r.br.Size() < l.HeaderBytes {
-		if err := r.enlarge(l.HeaderBytes); err != nil {
+	for trailer := min(l.HeaderBytes, maxTrailerBytes); r.br.Size() < trailer; {
+		if err := r.enlarge(trailer); err != nil {
 			return 0, err
 		}
 	}
