Test of chunked requests: hold all bodies open at once

The test now holds forty bodies open; without the change it is red (the bodies are refused), with it green.

--- a/connection/acceptor/endless_test.go
+++ b/connection/acceptor/endless_test.go
@@ -6,13 +6,14 @@
 	"io"
 	"net"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
+
+	"github.com/hornbeamrack/hornbeamrack/common/assembler"
 )
 
 // TestEndlessRequestsAreClosed guards against a caller that uses unbounded memory or a
@@ -190,19 +191,19 @@
 func TestChunkedBodiesTakeHeaderMemory(t *testing.T) {
 	is := is.New(t)
 	const callers = 40
-	limits := func() Limits { return Limits{HeaderBytes: 1 << 20} }
-	var running sync.WaitGroup
-	running.Add(callers)
-	address := start(t, &Server{Limits: limits, Handler: func(x *Exchange) {
-		running.Done()
-		running.Wait() // all requests are open at once
-		x.Response.SetBody(x.Request.Body())
-	}})
-	var readers []*bufio.Reader
+	s := &Server{Limits: func() Limits { return Limits{HeaderBytes: 1 << 20} }, Bodies: NewBodyMemory(64 << 20)}
+	s.Handler = func(x *Exchange) { x.Response.SetBody(x.Request.Body()) }
+	address := start(t, s)
+	var conns []net.Conn
 	for range callers {
-		readers = append(readers, bufio.NewReader(dial(t, address, "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n")))
+		conns = append(conns, dial(t, address, "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n"))
+	}
+	for end := time.Now().Add(10 * time.Second); s.Bodies.UsedBytes() < callers*assembler.BlockBytes; time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(end)) // all bodies are being read at once
 	}
-	for _, r := range readers {
-		is.Equal(readResponse(t, r), "body")
+	for _, conn := range conns {
+		_, err := io.WriteString(conn, "0\r\n\r\n")
+		is.NoErr(err)
+		is.Equal(readResponse(t, bufio.NewReader(conn)), "body")
 	}
 }
