--- a/review/stand2/again.go
+++ b/review/stand2/again.go
@@ -16,6 +16,8 @@
 
 const document = `{"version":"r1","limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutMs":3000,"idleTimeoutMs":15000},` +
 	`"listeners":[{"host":"shop.example","rules":[{"name":"r-designs","kind":"safe","sloMs":600,"priority":2,"match":{"prefix":"/designs/"},` +
+	`"action":{"service":"huvo11a","timeoutMs":2000,"attempts":2}},` +
+	`{"name":"r-previews","kind":"safe","sloMs":600,"priority":2,"match":{"prefix":"/previews/"},` +
 	`"action":{"service":"huvo11a","timeoutMs":2000,"attempts":2}}]}],` +
 	`"clusters":[{"name":"huvo11a","healthPath":"/healthz","maxConns":110,"protocol":"h1","tls":false}]}`
 
@@ -30,30 +32,18 @@
 // again later, when servers of the mended version run. In the end all control hosts are
 // killed. It checks that the second roll-out, which was acknowledged, is carried out.
 func playAgain(m *mesh, r *record, trouble bool) (int, error) {
-	o := &operator{record: r}
-	var controls []*process
-	for i := range 3 {
-		p, err := m.startControl(i, true)
-		if err != nil {
-			return exitFailed, err
-		}
-		controls = append(controls, p)
-		o.addresses = append(o.addresses, m.address(p.ip, portControl))
-	}
 	c := &clients{status: map[int]int{}}
-	add := func(from, to int, version string, bad bool) ([]*pair, error) {
-		return addPairs(m, r, c, from, to, version, bad)
-	}
-	old, err := add(0, 3, "v1", false)
+	o, controls, old, err := startAll(m, r, c)
 	if err != nil {
 		return exitFailed, err
 	}
-	if status, body := o.call(http.MethodPost, "/hornbeamrack/config/put", "0", []byte(document), 20*time.Second); status != http.StatusOK {
-		return exitFailed, fmt.Errorf("configuration: status %d: %s", status, body)
+	add := func(from, to int, version string, bad bool) ([]*pair, error) {
+		f := fault{path: "/"}
+		if bad {
+			f.share = 0.5
+		}
+		return addPairs(m, r, c, from, to, version, f)
 	}
-	r.line("operator: config/put r1 -> 200")
-	time.Sleep(5 * time.Second)
-
 	first, err := add(3, 5, "v2", trouble)
 	if err != nil {
 		return exitFailed, err
@@ -104,7 +94,7 @@
 	time.Sleep(8 * time.Second)
 	after, ok := o.state(service)
 	r.line("operator: after the final fault: state %s, targetVersion %s, read %t; servers of the second order ran %d requests", after.State, after.To, ok, runs(second))
-	r.line("clients: answers by status: %v", c.status)
+	r.line("clients: answers by status: %v", c.counts())
 	if !ok {
 		return exitFailed, errors.New("the state of the roll-out cannot be read after the final fault")
 	}
@@ -116,6 +106,31 @@
 	return exitHeld, nil
 }
 
+// startAll starts three control hosts and three nodes with servers of v1, and puts the
+// configuration in force.
+func startAll(m *mesh, r *record, c *clients) (*operator, []*process, []*pair, error) {
+	o := &operator{record: r}
+	var controls []*process
+	for i := range 3 {
+		p, err := m.startControl(i, true)
+		if err != nil {
+			return nil, nil, nil, err
+		}
+		controls = append(controls, p)
+		o.addresses = append(o.addresses, m.address(p.ip, portControl))
+	}
+	old, err := addPairs(m, r, c, 0, 3, "v1", fault{path: "/"})
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	if status, body := o.call(http.MethodPost, "/hornbeamrack/config/put", "0", []byte(document), 20*time.Second); status != http.StatusOK {
+		return nil, nil, nil, fmt.Errorf("configuration: status %d: %s", status, body)
+	}
+	r.line("operator: config/put r1 -> 200")
+	time.Sleep(5 * time.Second)
+	return o, controls, old, nil
+}
+
 // holds checks the run without trouble: the version serves, and the state remains.
 func holds(o *operator, r *record, c *clients, pairs []*pair) (int, error) {
 	time.Sleep(5 * time.Second)
@@ -125,7 +140,7 @@
 	time.Sleep(2 * time.Second)
 	state, ok := o.state(service)
 	r.line("operator: state %s, targetVersion %s, read %t; its servers ran %d requests", state.State, state.To, ok, runs(pairs))
-	r.line("clients: answers by status: %v", c.status)
+	r.line("clients: answers by status: %v", c.counts())
 	if ok && state.State == "succeeded" && runs(pairs) > 0 {
 		r.line("held: the roll-out was carried out")
 		return exitHeld, nil
@@ -133,8 +148,14 @@
 	return exitBroken, nil
 }
 
+// fault says which requests fail at a server: a share of those below a path.
+type fault struct {
+	share float64
+	path  string
+}
+
 // addPairs starts nodes from..to-1 with a server of the version beside each, and clients.
-func addPairs(m *mesh, r *record, c *clients, from, to int, version string, bad bool) ([]*pair, error) {
+func addPairs(m *mesh, r *record, c *clients, from, to int, version string, f fault) ([]*pair, error) {
 	var out []*pair
 	for i := from; i < to; i++ {
 		node, err := m.startNode(i, service)
@@ -142,7 +163,7 @@
 			return nil, err
 		}
 		s := &server{
-			id: fmt.Sprintf("i-%08x", 0x51a0+i), service: service, version: version, bad: bad, zone: m.zones[i%3],
+			id: fmt.Sprintf("i-%08x", 0x51a0+i), service: service, version: version, badShare: f.share, badPath: f.path, zone: m.zones[i%3],
 			address: m.address(node.ip, portServer), control: m.address(node.ip, portControl),
 		}
 		if err := s.start(); err != nil {
@@ -151,7 +172,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		go c.run(ctx, m.address(node.ip, portOutbound), m.address(node.ip, portReady), requestsASecond)
 		out = append(out, &pair{node, s, cancel})
-		r.line("platform: %s with server %s of %s %s, bad %t", node.name, s.id, service, version, bad)
+		r.line("platform: %s with server %s of %s %s, fails %g of the requests to %s", node.name, s.id, service, version, f.share, f.path)
 	}
 	return out, nil
 }
--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -113,9 +114,20 @@
 	}
 }
 
+// quietShare is the part of the requests that go to the quiet route.
+const quietShare = 0.12
+
+// path returns the path of the next request.
+func path() string {
+	if rand.Float64() < quietShare {
+		return "/previews/"
+	}
+	return "/designs/"
+}
+
 // send sends one request and counts the status of its answer, 0 for none.
 func (c *clients) send(client *http.Client, outbound string) {
-	req, _ := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/designs/%d", outbound, rand.IntN(1e6)), nil)
+	req, _ := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s%s%d", outbound, path(), rand.IntN(1e6)), nil)
 	req.Host = "shop.example"
 	req.Header.Set("X-Request-Id", fmt.Sprintf("%016x", rand.Uint64()))
 	req.Header.Set("X-Deadline-Ms", "4000")
@@ -129,3 +141,10 @@
 	defer c.mu.Unlock()
 	c.status[status]++
 }
+
+// counts returns a copy of the numbers of answers by status.
+func (c *clients) counts() map[int]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.status)
+}
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -65,6 +65,8 @@
 	switch *name {
 	case "again":
 		code, err = playAgain(m, r, trouble)
+	case "quiet-route":
+		code, err = playQuietRoute(m, r, trouble)
 	default:
 		err = fmt.Errorf("unknown case %q", *name)
 	}
--- a/review/stand2/server.go
+++ b/review/stand2/server.go
@@ -6,8 +6,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -23,13 +25,15 @@
 // server is a stand-in for an application server beside a node.
 type server struct {
 	id, service, version, address, control, zone string
-	bad                                          bool // bad makes every second request fail.
-	born                                         int64
-	sequence                                     atomic.Int64
-	runs, failures                               atomic.Int64
-	draining                                     atomic.Bool
-	http                                         *http.Server
-	stopBeats                                    context.CancelFunc
+	// badShare is the part of the requests below badPath that fail; badPath "/" means all.
+	badShare       float64
+	badPath        string
+	born           int64
+	sequence       atomic.Int64
+	runs, failures atomic.Int64
+	draining       atomic.Bool
+	http           *http.Server
+	stopBeats      context.CancelFunc
 }
 
 // start listens and begins to send heartbeats.
@@ -77,10 +81,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	n := s.runs.Add(1)
+	s.runs.Add(1)
 	time.Sleep(workTime)
 	w.Header().Set("X-Response-Signature", "stand-in."+id)
-	if s.bad && n%2 == 0 {
+	if strings.HasPrefix(r.URL.Path, s.badPath) && rand.Float64() < s.badShare {
 		s.failures.Add(1)
 		w.WriteHeader(http.StatusInternalServerError)
 	}
