--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -90,6 +90,8 @@
 
 // clients send safe requests to the nodes that are ready.
 type clients struct {
+	hotShare float64 // hotShare is the part of the requests that go to one and the same path.
+
 	mu     sync.Mutex
 	status map[int]int
 }
@@ -117,17 +119,24 @@
 // quietShare is the part of the requests that go to the quiet route.
 const quietShare = 0.12
 
+// hotPath is the path that most clients request if there is a hotShare.
+const hotPath = "/designs/all"
+
 // path returns the path of the next request.
-func path() string {
+func (c *clients) path() string {
+	if rand.Float64() < c.hotShare {
+		return hotPath
+	}
+	prefix := "/designs/"
 	if rand.Float64() < quietShare {
-		return "/previews/"
+		prefix = "/previews/"
 	}
-	return "/designs/"
+	return fmt.Sprintf("%s%d", prefix, rand.IntN(1e6))
 }
 
 // send sends one request and counts the status of its answer, 0 for none.
 func (c *clients) send(client *http.Client, outbound string) {
-	req, _ := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s%s%d", outbound, path(), rand.IntN(1e6)), nil)
+	req, _ := http.NewRequest(http.MethodGet, "http://"+outbound+c.path(), nil)
 	req.Host = "shop.example"
 	req.Header.Set("X-Request-Id", fmt.Sprintf("%016x", rand.Uint64()))
 	req.Header.Set("X-Deadline-Ms", "4000")
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -67,6 +67,8 @@
 		code, err = playAgain(m, r, trouble)
 	case "quiet-route":
 		code, err = playQuietRoute(m, r, trouble)
+	case "crash":
+		code, err = playCrash(m, r, trouble)
 	default:
 		err = fmt.Errorf("unknown case %q", *name)
 	}
--- a/review/stand2/server.go
+++ b/review/stand2/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -28,6 +29,7 @@
 	// badShare is the part of the requests below badPath that fail; badPath "/" means all.
 	badShare       float64
 	badPath        string
+	work           time.Duration // work is how long a request takes, workTime when zero.
 	born           int64
 	sequence       atomic.Int64
 	runs, failures atomic.Int64
@@ -82,7 +84,7 @@
 		return
 	}
 	s.runs.Add(1)
-	time.Sleep(workTime)
+	time.Sleep(cmp.Or(s.work, workTime))
 	w.Header().Set("X-Response-Signature", "stand-in."+id)
 	if strings.HasPrefix(r.URL.Path, s.badPath) && rand.Float64() < s.badShare {
 		s.failures.Add(1)
