--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/.."
 root=$(pwd)
 cd review/stand2
-GOWORK=off GOFLAGS=-mod=mod GOPROXY=off go build -o "$root/target/review-2/stand2" .
+GOWORK=off go build -o "$root/target/review-2/stand2" .
