Take no reset for the end of a response while the request is being sent

What callers saw: a target answered a long upload with a 200 without a length, sent part of the body and reset the connection while the upload was still being written. The caller got the part as a complete response.

Cause: the kernel reports a failed connection once, to the read or the write that comes first. The writer of the upload got ECONNRESET, and the read after it returned 0 bytes, which ends a response without a length. The reader never asked the writer. The class: any failure that the write is told of first, so also a peer that stops acknowledging (ETIMEDOUT), whatever the size of the body, streamed or not.

Evidence: a trace of the system calls of the test, and a probe of 20 connections a row. Reset, write first: write ECONNRESET, read "part" and then the end, 20 of 20. Reset, read first: read ECONNRESET, write EPIPE, 20 of 20. The peer's own end, then a reset, in either order: write EPIPE, read the end, 20 of 20 each. The peer's end alone: the write waits. So the error that the writer gets tells a reset from an end, in whatever order the two run.

Change: the reader of a connection passes the end on only after the writer of the current request has stopped and its error shows no failure of the connection. One place reads from the connection (connReader), so header, body, chunks and trailer are covered, of streamed responses, of targets and of other nodes. No request is begun on a connection whose peer has ended.

--- a/request/forwarder/conn.go
+++ b/request/forwarder/conn.go
@@ -50,6 +50,7 @@
 	short        bool          // short means that writing the request does not block.
 	sent         bool          // sent means that bytes of the request may have been sent; persistConn.mu guards it.
 	sendEnded    chan struct{} // sendEnded is closed when nothing more of the request is read or sent.
+	sendErr      error         // sendErr is the error of the sending; it is valid after sendEnded is closed.
 	bodyPassed   chan struct{} // bodyPassed is closed when a streamed body is passed on or given up; nil without streaming.
 	acknowledged atomic.Bool   // acknowledged means that the peer has sent an interim or final response.
 	done         chan error    // done receives one value: nil, or the error that ended the response.
@@ -78,6 +79,7 @@
 	current     *callState
 	writing     bool // writing means that the request is not sent completely.
 	closed      bool
+	inputEnded  bool          // inputEnded means that the peer sends nothing more, so no request is sent.
 	idleUntil   time.Time     // idleUntil is the moment after which the peer may close the connection.
 	idleTimeout time.Duration // idleTimeout is how long the connection may stay idle and be reused.
 }
@@ -85,7 +87,7 @@
 // newPersistConn returns a connection of f. The caller starts readLoop.
 func newPersistConn(f *Forwarder, conn net.Conn) *persistConn {
 	pc := &persistConn{forwarder: f, netConn: conn, idleTimeout: defaultIdleTimeout, bw: bufio.NewWriterSize(conn, writeBufferBytes)}
-	pc.br = bufio.NewReaderSize(conn, readBufferBytes)
+	pc.br = bufio.NewReaderSize(connReader{pc}, readBufferBytes)
 	return pc
 }
 
@@ -109,12 +111,14 @@
 func (pc *persistConn) send(c *callState, deadline time.Time) {
 	defer close(c.sendEnded)
 	pc.mu.Lock()
-	c.sent = !pc.closed
+	c.sent = !pc.closed && !pc.inputEnded
+	if c.sent {
+		_ = pc.netConn.SetWriteDeadline(deadline)
+	}
 	pc.mu.Unlock()
 	if !c.sent {
 		return
 	}
-	_ = pc.netConn.SetWriteDeadline(deadline)
 	body := c.req.Body()
 	if len(body) > 0 || !(c.req.Header.IsGet() || c.req.Header.IsHead()) {
 		c.req.Header.SetContentLength(len(body))
@@ -127,6 +131,7 @@
 		err = pc.bw.Flush()
 	}
 	if err != nil {
+		c.sendErr = err
 		pc.close() // readLoop ends the call.
 	}
 	pc.mu.Lock()
--- a/request/forwarder/framing_test.go
+++ b/request/forwarder/framing_test.go
@@ -65,11 +65,16 @@
 	c.sent, pc.writing = true, false
 	close(c.sendEnded)
 	go pc.readLoop()
+	return receive(c)
+}
+
+// receive waits for the response to a call and reads its body.
+func receive(c *callState) received {
 	if err := <-c.done; err != nil {
 		return received{}
 	}
 	status := c.resp.StatusCode()
-	if !stream || c.resp.SkipBody {
+	if !c.stream || c.resp.SkipBody {
 		return received{true, status, string(c.resp.Body())}
 	}
 	b := &streamBody{call: c, done: func() {}}
