Read what arrived before the connection failed under a long request

What callers saw: nothing broken, but an error in place of a whole response. A target that responds before it has read a long upload and then resets the connection at once lost its response: the caller got an unknown outcome (502).

Cause: the writer of the upload got the failure and closed the connection, while the response was still unread in the socket.

Change: when the socket itself has failed, the writer only records its error. The reader gets what has arrived, then the end, and judges it by that error as before. Any other failure of the writing, such as its deadline, closes the connection as it did. A connection on which a request was not sent completely is not reused.

--- a/request/forwarder/conn.go
+++ b/request/forwarder/conn.go
@@ -107,7 +107,8 @@
 }
 
 // send writes the request before the deadline. The path and the headers are sent
-// unchanged. On failure it closes the connection.
+// unchanged. On failure it closes the connection, unless the socket itself has failed: then
+// readLoop reads what has arrived, which may be a whole response, and finds the end.
 func (pc *persistConn) send(c *callState, deadline time.Time) {
 	defer close(c.sendEnded)
 	pc.mu.Lock()
@@ -130,8 +131,8 @@
 	if err == nil {
 		err = pc.bw.Flush()
 	}
-	if err != nil {
-		c.sendErr = err
+	c.sendErr = err
+	if err != nil && !isSocketError(err) {
 		pc.close() // readLoop ends the call.
 	}
 	pc.mu.Lock()
@@ -372,7 +373,7 @@
 }
 
 // markIdle ends c and makes the connection idle. It returns false if unread bytes are
-// left, a long request is still being written, or the connection is closed. It waits for
+// left, a long request is not sent completely, or the connection is closed. It waits for
 // the end of the writing of a short request, whose response can arrive before the writer
 // returns.
 func (pc *persistConn) markIdle(c *callState) bool {
@@ -381,7 +382,7 @@
 	}
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
-	if pc.closed || pc.writing || pc.br.Buffered() > 0 {
+	if pc.closed || pc.writing || c.sendErr != nil || pc.br.Buffered() > 0 {
 		return false
 	}
 	pc.current = nil
--- a/request/forwarder/early_test.go
+++ b/request/forwarder/early_test.go
@@ -177,3 +177,54 @@
 		}
 	}
 }
+
+// TestEarlyResponseStaysWhole guards against a complete response that is lost because the
+// target sent it before it had read the request, and then ended its side, or all of the
+// connection, while the upload was still being written.
+func TestEarlyResponseStaysWhole(t *testing.T) {
+	endSide := func(conn *net.TCPConn) { _ = conn.CloseWrite() }
+	framed := []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+	}
+	all := append([]string{"HTTP/1.1 200 OK\r\n\r\nwhole", "HTTP/1.0 200 OK\r\n\r\nwhole"}, framed...)
+	rows := []struct {
+		name  string
+		texts []string
+		end   func(conn *net.TCPConn)
+	}{
+		{"ends its side, reads the rest", all, func(conn *net.TCPConn) {
+			endSide(conn)
+			_, _ = io.Copy(io.Discard, conn)
+		}},
+		{"ends its side, resets later", all, func(conn *net.TCPConn) {
+			endSide(conn)
+			resetAfter(20 * time.Millisecond)(conn)
+		}},
+		{"ends its side, resets at once", all, func(conn *net.TCPConn) {
+			endSide(conn)
+			resetAfter(0)(conn)
+		}},
+		{"resets at once", framed, resetAfter(0)},
+		{"closes with bytes unread", framed, func(*net.TCPConn) {}},
+	}
+	want := received{true, fasthttp.StatusOK, "whole"}
+	for _, row := range rows {
+		for _, text := range row.texts {
+			for _, stream := range []bool{false, true} {
+				whole := 0
+				address := startEarlyTarget(t, text, row.end)
+				for range earlyRounds {
+					if got := upload(address, stream); got == want {
+						whole++
+					} else if got.complete {
+						t.Errorf("%s, stream %t: got %+v", row.name, stream, got)
+					}
+				}
+				if whole < earlyRounds {
+					t.Errorf("%s, stream %t: whole in %d of %d uploads: %q", row.name, stream, whole, earlyRounds, text)
+				}
+			}
+		}
+	}
+}
--- a/request/forwarder/end.go
+++ b/request/forwarder/end.go
@@ -51,3 +51,10 @@
 func isConnFailure(err error) bool {
 	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, syscall.EPIPE)
 }
+
+// isSocketError reports whether err is an error of the socket. Reads from it then return
+// what has arrived, and the end of the connection after that.
+func isSocketError(err error) bool {
+	var errno syscall.Errno
+	return errors.As(err, &errno)
+}
