--- a/request/forwarder/early_test.go
+++ b/request/forwarder/early_test.go
@@ -54,17 +54,20 @@
 }
 
 // upload sends an upload to the address and returns what its caller gets.
-func upload(address string, stream bool) received {
+func upload(address string, stream bool) received { return send(address, newUpload(), stream) }
+
+// send sends a request to the address and returns what its caller gets.
+func send(address string, req *fasthttp.Request, stream bool) received {
 	f := &Forwarder{Address: address, MaxConnections: 1}
 	deadline := time.Now().Add(testTimeout)
 	var resp fasthttp.Response
 	if !stream {
-		if f.Do(context.Background(), newUpload(), &resp, deadline, Identity{}) != nil {
+		if f.Do(context.Background(), req, &resp, deadline, Identity{}) != nil {
 			return received{}
 		}
 		return received{true, resp.StatusCode(), string(resp.Body())}
 	}
-	if f.Stream(context.Background(), newUpload(), &resp, deadline, Identity{}, func() {}) != nil {
+	if f.Stream(context.Background(), req, &resp, deadline, Identity{}, func() {}) != nil {
 		return received{}
 	}
 	body, err := io.ReadAll(resp.BodyStream())
