Let hornbeamctl read responses as nodes do

What operators would see: hornbeamctl takes a response with status 000 for one with status 200, so an edit that failed is reported as done; it takes a status below 100, and a head or an interim response in which the name of a header holds a blank. None of this was reported: it was found when every place that reads responses was checked.

Cause: hornbeamctl used the client of fasthttp. Its header returns 200 for a status that is 0, and its parser tolerates blanks in and behind names.

Change: hornbeamctl sends its requests with a Forwarder, the reader of the nodes, which checks the head before fasthttp parses it and knows a reset from the end of a response. Its connections may take as long to establish as the request, since operators are further away than nodes (DialTimeout). Status and body of a response that is no valid one are not read; the next control host is tried, as before.

Red before, TestBrokenResponseOfControlHost: 5 of 13 rows (status 000, status 099, a blank in a name, behind a name, in an interim response). Resets before and after the request was sent, a cut and a control byte held before: fasthttp reads only once it has written, and gives up after a failed write. TestOperatorCommands and TestAnyProcessKilled (stand/starter) green.

--- a/commands/client.go
+++ b/commands/client.go
@@ -1,6 +1,7 @@
 package commands
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -14,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/hornbeamrack/hornbeamrack/process/controller"
+	"github.com/hornbeamrack/hornbeamrack/request/forwarder"
 )
 
 const (
@@ -92,21 +94,24 @@
 	return &Error{path, KindUnreachable, errors.WithMessage(last, "no control host could serve the request")}
 }
 
-// send sends one request to one control host and returns the status and a copy of the
-// body.
+// send sends one request to one control host and returns the status and the body. It reads
+// the response as nodes do: the client of fasthttp takes status 000 for 200.
 func (o *clientOptions) send(method, address, path string, body []byte) (int, []byte, error) {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
+	var req fasthttp.Request
+	var resp fasthttp.Response
 	req.SetRequestURI("http://" + address + path)
+	req.Header.SetRequestURIBytes(req.URI().RequestURI())
+	req.Header.SetHost(address)
 	req.Header.SetMethod(method)
 	req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+o.Token)
 	if body != nil {
 		req.Header.SetContentType("application/json")
 		req.SetBody(body)
 	}
-	err := fasthttp.DoTimeout(req, resp, requestTimeout)
-	return resp.StatusCode(), append([]byte(nil), resp.Body()...), err
+	f := &forwarder.Forwarder{Address: address, DialTimeout: requestTimeout}
+	defer f.Close()
+	err := f.Do(context.Background(), &req, &resp, time.Now().Add(requestTimeout), forwarder.Identity{})
+	return resp.StatusCode(), resp.Body(), err
 }
 
 // failureText returns the error text of a response, or the whole body when it is not
--- a/request/forwarder/forwarder.go
+++ b/request/forwarder/forwarder.go
@@ -23,6 +23,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -65,9 +66,9 @@
 	// before the one to a request; more of them break the connection.
 	maxForeignResponses = 16
 
-	// dialTimeout bounds the establishment of a connection, which also ends at the
+	// DefaultDialTimeout bounds the establishment of a connection, which also ends at the
 	// deadline of the request.
-	dialTimeout = 250 * time.Millisecond
+	DefaultDialTimeout = 250 * time.Millisecond
 	// defaultIdleTimeout is shorter than the usual keep-alive timeout of servers, so
 	// that the server is seldom the first to close.
 	defaultIdleTimeout = 4 * time.Second
@@ -159,6 +160,8 @@
 	// AckTimeout is how long a peer may take to acknowledge a request by an interim
 	// response; 0 means that the peer sends no acknowledgements.
 	AckTimeout time.Duration
+	// DialTimeout bounds the establishment of a connection; 0 means DefaultDialTimeout.
+	DialTimeout time.Duration
 
 	mu        sync.Mutex
 	idle      []*persistConn // idle is a stack: the most recently used connection is reused first.
@@ -307,7 +310,7 @@
 	}
 	f.openCount++
 	f.mu.Unlock()
-	conn, err := dial(ctx, f.Address, deadline)
+	conn, err := dial(ctx, f.Address, f.dialDeadline(deadline))
 	if err != nil {
 		f.addOpen(-1)
 		return nil, &Error{"dial", KindDial, err}
@@ -379,12 +382,22 @@
 	}
 }
 
-// dial opens a TCP connection with the keep-alive and socket options of this
-// package.
+// dialDeadline returns when the establishment of a connection is given up for a request
+// with a deadline.
+func (f *Forwarder) dialDeadline(deadline time.Time) time.Time {
+	limit := time.Now().Add(cmp.Or(f.DialTimeout, DefaultDialTimeout))
+	if limit.Before(deadline) {
+		return limit
+	}
+	return deadline
+}
+
+// dial opens a TCP connection before the deadline, with the keep-alive and socket options
+// of this package.
 func dial(ctx context.Context, address string, deadline time.Time) (net.Conn, error) {
 	dialsTotal.Inc()
 	d := net.Dialer{
-		Timeout: min(dialTimeout, time.Until(deadline)),
+		Deadline: deadline,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 		},
