Take only io.EOF itself for the end of a body

What callers saw: nothing yet. A body was complete as soon as its reader failed with an error that wraps io.EOF, such as one that says what could not be read to its end.

Cause: the end was found with errors.Is. A reader ends with io.EOF itself.

Red before: TestWrappedEndIsNoEnd (common/assembler). Green now, with request/forwarder and connection/acceptor, which read bodies so.

--- a/common/assembler/assembler.go
+++ b/common/assembler/assembler.go
@@ -169,7 +169,7 @@
 		switch {
 		case b.length > b.MaxBytes:
 			return &Error{"read", KindTooLarge, fmt.Errorf("the body has more than %d bytes", b.MaxBytes)}
-		case errors.Is(err, io.EOF):
+		case err == io.EOF: // An error that wraps it means that something else ended.
 			return nil
 		case err != nil:
 			return &Error{"read", KindRead, err}
--- a/common/assembler/assembler_test.go
+++ b/common/assembler/assembler_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"testing/iotest"
 
@@ -104,3 +106,15 @@
 	is.True(!p.Reserve(1, true))
 	is.Equal(len(p.free), 0)
 }
+
+// TestWrappedEndIsNoEnd guards against a body that is taken for complete because its reader
+// failed at the end of something else: only io.EOF itself ends a body.
+func TestWrappedEndIsNoEnd(t *testing.T) {
+	is := is.New(t)
+	failure := fmt.Errorf("read the trailer: %w", io.EOF)
+	body := Body{Pool: &Pool{MaxBytes: 2 * BlockBytes}, MaxBytes: BlockBytes}
+	err := body.ReadAll(io.MultiReader(strings.NewReader("part"), iotest.ErrReader(failure)))
+	is.True(IsKind(err, KindRead))
+	is.True(errors.Is(err, failure))
+	body.Release()
+}
