Reject a response whose trailer has white space in a name

What callers saw: a target ended a body in chunks with a trailer in which the name of a line held a blank ("X-A B", "X-A ", "X-Response Signature"). The caller got the response as a whole one, with that line.

Cause: heads are checked before fasthttp parses them, trailers were not. fasthttp reads the last chunk and the trailer in one step, keeps blanks within names and trims those behind them.

Change: a body in chunks is read with the chunk reader of the standard library, which stops before the trailer; the trailer's lines are then checked like those of a head, and parsed by fasthttp as before. So the one check (checkHeaderLines) holds for heads, interim responses and trailers, of targets and of other nodes, streamed or not. A streamed body with such a trailer ends without its last chunk.

--- a/request/forwarder/conn.go
+++ b/request/forwarder/conn.go
@@ -245,8 +245,7 @@
 	}
 	body := assembler.Body{Pool: responseBodies, MaxBytes: MaxResponseBytes, SmallBytes: fairResponseBytes}
 	defer body.Release()
-	resp.StreamBody = true
-	err := resp.ReadBody(pc.br, 0)
+	err := pc.openBody(resp)
 	if err == nil {
 		err = body.ReadAll(resp.BodyStream())
 	}
@@ -263,6 +262,16 @@
 	return nil
 }
 
+// openBody sets the body stream of a response whose header is read.
+func (pc *persistConn) openBody(resp *fasthttp.Response) error {
+	if resp.Header.ContentLength() == chunkedLength {
+		resp.SetBodyStream(newChunkedBody(pc.br, &resp.Header), chunkedLength)
+		return nil
+	}
+	resp.StreamBody = true
+	return resp.ReadBody(pc.br, 0)
+}
+
 // readOwnHeader reads the header of the response to c. It discards the responses to
 // other requests that precede it. It fails if a response names no request, since neither
 // that one nor a later one can be assigned to c then.
@@ -346,8 +355,7 @@
 // passBody lets the caller read the body from the connection and waits until it is
 // passed on.
 func (pc *persistConn) passBody(c *callState) error {
-	c.resp.StreamBody = true
-	if err := c.resp.ReadBody(pc.br, 0); err != nil {
+	if err := pc.openBody(c.resp); err != nil {
 		return err
 	}
 	c.signalStreamStart()
--- a/request/forwarder/header.go
+++ b/request/forwarder/header.go
@@ -68,9 +68,14 @@
 	if err := checkStatusLine(status); err != nil {
 		return err
 	}
-	for len(rest) > 0 {
+	return checkHeaderLines(rest)
+}
+
+// checkHeaderLines returns an error if a line of a header or a trailer is not well-formed.
+func checkHeaderLines(raw []byte) error {
+	for len(raw) > 0 {
 		var line []byte
-		line, rest, _ = bytes.Cut(rest, lineEnd)
+		line, raw, _ = bytes.Cut(raw, lineEnd)
 		if err := checkHeaderLine(line); err != nil {
 			return err
 		}
--- a/request/forwarder/malformed_test.go
+++ b/request/forwarder/malformed_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"testing"
 
+	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 )
 
@@ -58,3 +59,41 @@
 	checkPassedOn(t, "HTTP/1.1 102 Processing\r\n\r\n"+final, received{true, fasthttp.StatusOK, "ok"})
 	checkPassedOn(t, "HTTP/1.1 999 Text\r\nContent-Length: 2\r\n\r\nok", received{true, 999, "ok"})
 }
+
+// invalidNames are names that a header must not have: with a blank or a control byte, or
+// empty.
+var invalidNames = []string{
+	"X A", "X-A ", "X\tA", "X-A\t", "X-Response Signature", "Content Length", "Content-Length ",
+	"X\x00A", "X\x01A", "X\x0bA", "X\x1fA", "X\x7fA", "X-A\x00", "\x00X-A", "X\rA", "",
+}
+
+// TestInvalidNameIsRejected guards against a response that is passed on although the name
+// of one of its headers is not valid: in the header, in that of an interim response and in
+// the trailer, as the first line or a later one.
+func TestInvalidNameIsRejected(t *testing.T) {
+	const chunks = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+	for _, name := range invalidNames {
+		line := name + ": 1\r\n"
+		checkRejected(t, "HTTP/1.1 200 OK\r\n"+line+"Content-Length: 2\r\n\r\nok")
+		checkRejected(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"+line+"\r\nok")
+		checkRejected(t, "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n"+wholeResponse)
+		checkRejected(t, "HTTP/1.1 103 Early Hints\r\nX-B: 1\r\n"+line+"\r\n"+wholeResponse)
+		checkRejected(t, chunks+line+"\r\n")
+		checkRejected(t, chunks+"X-B: 1\r\n"+line+"\r\n")
+	}
+	whole := received{true, fasthttp.StatusOK, "ok"}
+	checkPassedOn(t, chunks+"\r\n", whole)
+	checkPassedOn(t, chunks+"X-B: 1\r\nX-Sum:\r\n\r\n", whole)
+}
+
+// TestTrailerIsPassedOn guards against a trailer that is lost, or taken for a header of the
+// response.
+func TestTrailerIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	address := startTextTarget(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n2\r\nok\r\n0\r\nX-Sum: 7\r\nX-More: 8\r\n\r\n")
+	resp, err := get(&Forwarder{Address: address}, "/")
+	is.NoErr(err)
+	is.Equal(string(resp.Header.Peek("X-Sum")), "7")
+	is.Equal(string(resp.Header.Peek("X-More")), "8")
+	is.Equal(string(resp.Header.Peek("Trailer")), "X-Sum, X-More")
+}
