Reject a response with a line that begins with white space

What callers saw: a target sent a line of its head with a blank before the name, as any but the first line. The caller got the response as an answer, with that line as a part of the value of the line before it; if it was the length, with a body that ended elsewhere than the target had it.

The check of names passed it over for that reason. To a reader that knows no continued lines it is a header of its own, so what the response says depends on who reads it.

Change: the line is rejected, in heads, interim responses and trailers, as HTTP lets a proxy do (a 502). The check of names now has one rule, no blank and no control byte, and no exception; control bytes were left to fasthttp before.

--- a/request/forwarder/header.go
+++ b/request/forwarder/header.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"slices"
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
@@ -101,18 +102,19 @@
 	return nil
 }
 
-// checkHeaderLine returns an error if a line has a line end within it, or white space in
-// its name. A line that continues the one before it has no name.
+// checkHeaderLine returns an error if a line has a line end within it, or a blank or a
+// control byte in its name. A line that continues the one before it begins with a blank or
+// a tab, so it is rejected too.
 func checkHeaderLine(line []byte) error {
 	if bytes.ContainsAny(line, "\r\n") {
 		return errors.Errorf("the header line %q has a line end within it", line)
 	}
-	if line[0] == ' ' || line[0] == '\t' {
-		return nil
-	}
 	name, _, _ := bytes.Cut(line, []byte(":"))
-	if bytes.ContainsAny(name, " \t") {
-		return errors.Errorf("the header line %q has white space in its name", line)
+	if slices.ContainsFunc(name, isBlankOrControl) {
+		return errors.Errorf("the header line %q has white space or a control byte in its name", line)
 	}
 	return nil
 }
+
+// isBlankOrControl reports whether b is a blank or a control byte.
+func isBlankOrControl(b byte) bool { return b <= ' ' || b == 0x7f }
--- a/request/forwarder/malformed_test.go
+++ b/request/forwarder/malformed_test.go
@@ -97,3 +97,17 @@
 	is.Equal(string(resp.Header.Peek("X-More")), "8")
 	is.Equal(string(resp.Header.Peek("Trailer")), "X-Sum, X-More")
 }
+
+// TestContinuedLineIsRejected guards against a response that is passed on although one of
+// its lines begins with white space: one reader takes it for a header whose name begins
+// with a blank, another for the end of the line before it.
+func TestContinuedLineIsRejected(t *testing.T) {
+	for _, line := range []string{" X-A: 1", "\tX-A: 1", " Content-Length: 1", " more", "\tmore", " ", "\t"} {
+		lines := "X-B: 1\r\n" + line + "\r\n"
+		checkRejected(t, "HTTP/1.1 200 OK\r\n"+line+"\r\nContent-Length: 2\r\n\r\nok")
+		checkRejected(t, "HTTP/1.1 200 OK\r\n"+lines+"Content-Length: 2\r\n\r\nok")
+		checkRejected(t, "HTTP/1.1 200 OK\r\n"+lines+"\r\nok")
+		checkRejected(t, "HTTP/1.1 103 Early Hints\r\n"+lines+"\r\n"+wholeResponse)
+		checkRejected(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"+lines+"\r\n")
+	}
+}
