Reject a response with a control byte in its status line

What callers saw: a target sent a status line with a control byte in its text ("200 O\x00K"). The caller got it as it was. It was found when the bytes of a head that only fasthttp checks were looked at; no operator has reported it.

Cause: the status line was checked for line ends only, and fasthttp takes any text behind the status.

Change: a status line with a control byte is rejected. A tab and bytes beyond ASCII are passed on as before, since HTTP allows them in that text.

--- a/request/forwarder/header.go
+++ b/request/forwarder/header.go
@@ -18,7 +18,8 @@
 
 // readResponseHeader reads the header of one response, interim or final. It takes nothing
 // for a header before its blank line has arrived, and rejects one that readers may
-// understand differently: fasthttp reads status 000 as 200 and skips white space in names.
+// understand differently: fasthttp reads status 000 as 200, skips white space in names and
+// joins a line that begins with white space with the one before it.
 func readResponseHeader(br *bufio.Reader, h *fasthttp.ResponseHeader) error {
 	raw, err := peekHeader(br)
 	if err != nil {
@@ -96,8 +97,8 @@
 		return errors.Errorf("the status line %q has no valid status", line)
 	case string(code) == "101":
 		return errors.New("the peer switches protocols without a request to do so")
-	case bytes.ContainsAny(line, "\r\n"):
-		return errors.Errorf("the status line %q has a line end within it", line)
+	case slices.ContainsFunc(line, isControl):
+		return errors.Errorf("the status line %q has a control byte within it", line)
 	}
 	return nil
 }
@@ -116,5 +117,9 @@
 	return nil
 }
 
-// isBlankOrControl reports whether b is a blank or a control byte.
-func isBlankOrControl(b byte) bool { return b <= ' ' || b == 0x7f }
+// isBlankOrControl reports whether b must not be in a name: a blank, a tab or another
+// control byte.
+func isBlankOrControl(b byte) bool { return b == ' ' || b == '\t' || isControl(b) }
+
+// isControl reports whether b is a control byte other than a tab.
+func isControl(b byte) bool { return b < ' ' && b != '\t' || b == 0x7f }
--- a/request/forwarder/malformed_test.go
+++ b/request/forwarder/malformed_test.go
@@ -111,3 +111,15 @@
 		checkRejected(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"+lines+"\r\n")
 	}
 }
+
+// TestInvalidReasonIsRejected guards against a response that is passed on with a control
+// byte in its status line, which some clients reject and others end the line at.
+func TestInvalidReasonIsRejected(t *testing.T) {
+	for _, reason := range []string{"O\x00K", "\x01OK", "OK\x0b", "O\x1fK", "OK\x7f", "O\rK", "OK\r"} {
+		checkRejected(t, "HTTP/1.1 200 "+reason+"\r\nContent-Length: 2\r\n\r\nok")
+		checkRejected(t, "HTTP/1.1 103 "+reason+"\r\n\r\n"+wholeResponse)
+	}
+	for _, reason := range []string{"", " ", " All right", " All\tright", " Très bien"} {
+		checkPassedOn(t, "HTTP/1.1 200"+reason+"\r\nContent-Length: 2\r\n\r\nok", received{true, fasthttp.StatusOK, "ok"})
+	}
+}
