--- a/connection/acceptor/framing_test.go
+++ b/connection/acceptor/framing_test.go
@@ -106,3 +106,42 @@
 	time.Sleep(50 * time.Millisecond) // A cut request could still be handled.
 	is.Equal(handled.Load(), int64(len(texts)))
 }
+
+// TestResponseToUnfinishedRequestIsWhole guards against a response that reaches a caller
+// which is still sending its request as a part, or not at all: the server rejects a body by
+// its length, or a chunk of it, and does not wait for the rest.
+func TestResponseToUnfinishedRequestIsWhole(t *testing.T) {
+	const bodyBytes = 8 << 20
+	chunk := "10000\r\n" + strings.Repeat("x", 0x10000) + "\r\n"
+	rows := []struct{ name, head, piece string }{
+		{"length", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 8388608\r\n\r\n", strings.Repeat("x", 0x10000)},
+		{"chunks", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n", chunk},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			address := start(t, &Server{Handler: func(*Exchange) {}})
+			for range 10 {
+				conn := dial(t, address, row.head)
+				sent := make(chan struct{})
+				go func() {
+					defer close(sent)
+					for n := 0; n < bodyBytes; n += len(row.piece) {
+						if _, err := io.WriteString(conn, row.piece); err != nil {
+							return
+						}
+					}
+				}()
+				resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				is.NoErr(err)
+				is.Equal(resp.StatusCode, http.StatusRequestEntityTooLarge)
+				body, err := io.ReadAll(resp.Body)
+				is.NoErr(err)
+				is.True(resp.ContentLength > 0) // a part would show as such
+				is.Equal(int64(len(body)), resp.ContentLength)
+				is.NoErr(conn.Close())
+				<-sent
+			}
+		})
+	}
+}
--- a/request/forwarder/early_test.go
+++ b/request/forwarder/early_test.go
@@ -58,8 +58,12 @@
 
 // send sends a request to the address and returns what its caller gets.
 func send(address string, req *fasthttp.Request, stream bool) received {
+	return sendBefore(address, req, stream, time.Now().Add(testTimeout))
+}
+
+// sendBefore does the same with a deadline.
+func sendBefore(address string, req *fasthttp.Request, stream bool, deadline time.Time) received {
 	f := &Forwarder{Address: address, MaxConnections: 1}
-	deadline := time.Now().Add(testTimeout)
 	var resp fasthttp.Response
 	if !stream {
 		if f.Do(context.Background(), req, &resp, deadline, Identity{}) != nil {
@@ -231,3 +235,19 @@
 		}
 	}
 }
+
+// TestDeadlineDuringUploadIsIncomplete guards against a part of a response that is passed
+// on as complete because the writing of the upload ended at its deadline: a target responds
+// without a length, reads nothing more, and leaves the connection open.
+func TestDeadlineDuringUploadIsIncomplete(t *testing.T) {
+	ended := make(chan struct{})
+	defer close(ended)
+	address := startEarlyTarget(t, "HTTP/1.1 200 OK\r\n\r\npart", func(*net.TCPConn) { <-ended })
+	for _, stream := range []bool{false, true} {
+		for range earlyRounds {
+			if got := sendBefore(address, newUpload(), stream, time.Now().Add(100*time.Millisecond)); got.complete {
+				t.Errorf("stream %t: got %+v", stream, got)
+			}
+		}
+	}
+}
