--- a/stand/starter/broken_integration_test.go
+++ b/stand/starter/broken_integration_test.go
@@ -57,30 +57,40 @@
 	arrivals [64]atomic.Int64 // arrivals counts the requests by the index of their response.
 }
 
-// startBrokenTarget starts a target that listens until the test ends.
-func startBrokenTarget(t *testing.T) *brokenTarget {
+// serveConns runs serve for each connection to a new address, and closes the connection
+// after it, until the test ends. It returns the address.
+func serveConns(t *testing.T, serve func(conn *net.TCPConn)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	target := &brokenTarget{address: l.Addr().String()}
 	go func() {
 		for {
 			conn, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go target.serve(conn.(*net.TCPConn))
+			go func() {
+				defer func() { _ = conn.Close() }()
+				serve(conn.(*net.TCPConn))
+			}()
 		}
 	}()
+	return l.Addr().String()
+}
+
+// startBrokenTarget starts a target that serves until the test ends.
+func startBrokenTarget(t *testing.T) *brokenTarget {
+	t.Helper()
+	target := &brokenTarget{}
+	target.address = serveConns(t, target.serve)
 	return target
 }
 
 // serve responds to the requests of one connection.
 func (b *brokenTarget) serve(conn *net.TCPConn) {
-	defer func() { _ = conn.Close() }()
 	r := bufio.NewReader(conn)
 	for {
 		req, err := http.ReadRequest(r)
@@ -100,6 +110,18 @@
 	}
 }
 
+// startTextHost starts a stand-in control host that responds to each request with the text,
+// and returns its address.
+func startTextHost(t *testing.T, text string) string {
+	t.Helper()
+	return serveConns(t, func(conn *net.TCPConn) {
+		if req, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = io.Copy(io.Discard, req.Body)
+			_, _ = io.WriteString(conn, text)
+		}
+	})
+}
+
 // find returns the index of the response that a path asks for, false for a whole one.
 func (b *brokenTarget) find(path string) (int, bool) {
 	for i, broken := range brokenResponses {
@@ -242,3 +264,34 @@
 		}
 	}
 }
+
+// TestBrokenResponsesOfControlHosts guards against an edit that hornbeamctl reports as done
+// because it takes a broken response of a control host for a whole one.
+func TestBrokenResponsesOfControlHosts(t *testing.T) {
+	const (
+		body            = `{"outcome":"accepted","revision":1}`
+		exitUnreachable = 5
+	)
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	rows := []struct {
+		name, head string
+		exitCode   int
+	}{
+		{"whole", "HTTP/1.1 200 OK\r\n" + length, 0},
+		{"status 000", "HTTP/1.1 000 None\r\n" + length, exitUnreachable},
+		{"blank in a name", "HTTP/1.1 200 OK\r\nX A: 1\r\n" + length, exitUnreachable},
+		{"control byte in a name", "HTTP/1.1 200 OK\r\nX\x01A: 1\r\n" + length, exitUnreachable},
+		{"cut", "HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n", exitUnreachable},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			is := is.New(t)
+			host := &ControlHost{OperatorAddress: startTextHost(t, row.head+"\r\n"+body)}
+			m := &Mesh{ProgramFolder: programFolder, ControlHosts: []*ControlHost{host}}
+			out, code, err := m.RunClientWithInput([]byte(designsSection), "section", "edit", "designs", "--file", "-", "--base", "0")
+			t.Logf("exit code %d: %s", code, out)
+			is.NoErr(err)
+			is.Equal(code, row.exitCode)
+		})
+	}
+}
