Test that a stalled upload completes no response

The same cause as the reset during an upload, without a reset: a target responds without a length, sends a part, and then neither reads nor closes. The kernel gives the connection up after a second without progress and reports ETIMEDOUT to the write; the read gets the end of the connection.

--- a/request/forwarder/early_test.go
+++ b/request/forwarder/early_test.go
@@ -251,3 +251,20 @@
 		}
 	}
 }
+
+// TestStalledUploadIsIncomplete guards against the same without a reset: a target responds
+// without a length, and then neither reads nor closes. The kernel gives the connection up
+// after unackedTimeout, which it reports to the write.
+func TestStalledUploadIsIncomplete(t *testing.T) {
+	ended := make(chan struct{})
+	defer close(ended)
+	address := startEarlyTarget(t, "HTTP/1.1 200 OK\r\n\r\npart", func(*net.TCPConn) { <-ended })
+	for _, stream := range []bool{false, true} {
+		start := time.Now()
+		got := upload(address, stream)
+		t.Logf("stream %t: %+v after %s", stream, got, time.Since(start))
+		if got.complete {
+			t.Errorf("stream %t: got %+v", stream, got)
+		}
+	}
+}
