--- a/request/forwarder/chunks.go
+++ b/request/forwarder/chunks.go
@@ -19,7 +19,7 @@
 	chunks io.Reader
 	br     *bufio.Reader
 	header *fasthttp.ResponseHeader // header gets the trailer.
-	err    error                    // err is the result of the last Read, nil before the end.
+	err    error                    // err is the first error of Read, io.EOF behind the trailer.
 }
 
 // newChunkedBody returns the body that follows the header h.
--- a/request/forwarder/end.go
+++ b/request/forwarder/end.go
@@ -24,9 +24,9 @@
 	return n, err
 }
 
-// endInput is called at the end of the connection. It stops the sending of the current
-// request and waits for its result, so that a failure that was reported to the write is
-// known. It returns that failure, or io.EOF if there is none.
+// endInput is called when a read has returned the end of the connection. It stops the
+// sending of the current request and waits for its result, so that a failure that was
+// reported to the write is known. It returns that failure, or io.EOF if there is none.
 func (pc *persistConn) endInput() error {
 	pc.mu.Lock()
 	c := pc.current
@@ -45,9 +45,9 @@
 	return io.EOF
 }
 
-// isConnFailure reports whether the error of a write means that the connection has failed.
-// A write that reached its deadline does not. Neither does EPIPE: if the write is the first
-// to be told of a failure, it gets EPIPE only if the peer had ended its side before.
+// isConnFailure reports whether the error of a write means that the connection has failed
+// before the peer ended its side. A deadline does not. Neither does EPIPE: a write that is
+// the first to be told of a failure gets it only if the peer had ended its side before.
 func isConnFailure(err error) bool {
 	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, syscall.EPIPE)
 }
--- a/request/forwarder/forwarder.go
+++ b/request/forwarder/forwarder.go
@@ -7,7 +7,9 @@
 // also closed when the peer closes it. A connection whose request failed, timed
 // out or was cancelled is closed and never reused. Each response is compared with
 // the request that waits for it, see Identity: a peer may write an earlier response
-// once more where the next one is expected.
+// once more where the next one is expected. The end of a connection ends a response without
+// a length only if the connection has not failed, see connReader. Headers and trailers are
+// checked before fasthttp parses them, see readResponseHeader and chunkedBody.
 //
 // The client of fasthttp is not used: it rewrites the path, it cannot be
 // cancelled, and it takes bytes that arrive between two requests for the next
