--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -5,4 +5,4 @@
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 [ -x target/review-stand3 ] || exit 2
-exec target/review-stand3 pipeline-left review/15
+exec target/review-stand3 rollout-never-ends review/15
--- a/review/stand3/server.go
+++ b/review/stand3/server.go
@@ -34,7 +34,8 @@
 	http     *http.Server
 	stop     context.CancelFunc
 	runs     atomic.Int64
-	active   sync.Map // active holds the start time of each request that the server works on, by its id.
+	active   sync.Map                               // active holds the start time of each request that the server works on, by its id.
+	respond  func(w http.ResponseWriter, id string) // respond, when set, writes the answer to a request that was run.
 	onRun    func(id string, at time.Time)
 	onEnd    func(id string, at time.Time, cancelled bool)
 }
@@ -109,6 +110,10 @@
 		_, _ = io.WriteString(w, "failed")
 		return
 	}
+	if s.respond != nil {
+		s.respond(w, id)
+		return
+	}
 	_, _ = io.WriteString(w, "answer of "+s.id+" to "+id)
 }
 
