--- a/review/stand3/cluster.go
+++ b/review/stand3/cluster.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -40,6 +41,17 @@
 
 	mu       sync.Mutex
 	machines []*machine
+	closed   bool // closed means that no further process is started.
+}
+
+// opened is the cluster of the case that runs.
+var opened atomic.Pointer[cluster]
+
+// closeAll ends the processes of the case that runs.
+func closeAll() {
+	if c := opened.Load(); c != nil {
+		c.close()
+	}
 }
 
 // machine is one machine with one daemon.
@@ -72,6 +84,7 @@
 	if len(c.ports) < portCount {
 		return nil, fmt.Errorf("no free ports")
 	}
+	opened.Store(c)
 	return c, nil
 }
 
@@ -163,6 +176,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m := &machine{index: len(c.machines), template: template, service: service, zone: zone, memoryMB: 284}
+	if service == "" {
+		m.memoryMB = 280
+	}
 	m.name = fmt.Sprintf("%s-%d", strings.TrimSuffix(template, ".yaml"), m.index+1)
 	c.machines = append(c.machines, m)
 	return m
@@ -186,6 +202,11 @@
 	cmd := exec.Command(filepath.Join(c.root, "target", "hornbeamd"), "run", "--settings", settings)
 	cmd.Dir = c.root
 	cmd.Stdout, cmd.Stderr = log, log
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return fmt.Errorf("the case is ending")
+	}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
@@ -194,9 +215,7 @@
 		_ = cmd.Wait()
 		close(exited)
 	}()
-	c.mu.Lock()
 	m.cmd, m.exited = cmd, exited
-	c.mu.Unlock()
 	return nil
 }
 
@@ -225,7 +244,11 @@
 
 // close ends all processes and removes the temporary folder unless KEEP is set.
 func (c *cluster) close() {
-	for _, m := range c.machines {
+	c.mu.Lock()
+	c.closed = true
+	list := c.machines
+	c.mu.Unlock()
+	for _, m := range list {
 		c.kill(m)
 	}
 	if os.Getenv("KEEP") == "" {
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -9,9 +9,15 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
+	"time"
 )
 
+// maxTime is less than the time that a script may take.
+const maxTime = 115 * time.Second
+
 // cases are the cases by name. Each reports whether its rule was broken.
 var cases = map[string]func(r *recorder, trouble bool) (broken bool, err error){}
 
@@ -25,6 +31,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
+	go endOnSignal(r)
 	broken, err := cases[os.Args[1]](r, os.Getenv("TROUBLE") != "0")
 	status := 0
 	switch {
@@ -40,3 +47,18 @@
 	r.close()
 	os.Exit(status)
 }
+
+// endOnSignal ends all processes that the case has started and the case itself, when it is
+// told to end or has taken too long.
+func endOnSignal(r *recorder) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	select {
+	case <-signals:
+	case <-time.After(maxTime):
+	}
+	r.sayf("the case was ended before its time, or took too long")
+	closeAll()
+	r.close()
+	os.Exit(2)
+}
