--- a/review/stand3/spoiled.go
+++ b/review/stand3/spoiled.go
@@ -14,13 +14,16 @@
 
 // spoiledVersion lets servers send their answers in chunks and, as page and bench say, a
 // part of them with Connection: close. With trouble one byte of a few of these answers is
-// wrong: HTTP/1.0 stands in place of HTTP/1.1. A client must not get a success whose body
+// wrong: HTTP/1.0 stands in place of HTTP/1.1. They come from one server of three, in the
+// time spoilFor. A client must not get a success whose body
 // isn't the server's.
 func spoiledVersion(r *recorder, trouble bool) (bool, error) {
 	const (
 		total     = 600
-		perSecond = 30
-		spoilEach = 40 // spoilEach spoils one answer of so many, 0.025 of them.
+		perSecond = 60
+		spoilEach = 34 // spoilEach spoils one answer of so many of one server, less than 0.03.
+		spoilFrom = 2500 * time.Millisecond
+		spoilFor  = 5 * time.Second
 		closeEach = 10
 		patience  = 2 * time.Second
 	)
@@ -43,13 +46,18 @@
 	if err != nil {
 		return false, err
 	}
-	var count atomic.Int64
-	for _, s := range servers {
+	var begin atomic.Int64 // begin is the Unix time in ns at which the first request is sent.
+	var spoilable, spoiled atomic.Int64
+	for i, s := range servers {
+		var count atomic.Int64
 		s.respond = func(w http.ResponseWriter, id string) {
 			n := count.Add(1)
 			parts := partsOf(id)
+			since := time.Duration(time.Now().UnixNano() - begin.Load())
+			faulty := trouble && i == 0 && since >= spoilFrom && since < spoilFrom+spoilFor
 			switch {
-			case trouble && n%spoilEach == 0:
+			case faulty && spoilable.Add(1)%spoilEach == 0:
+				spoiled.Add(1)
 				r.logf("answer to %s spoiled by %s", id, s.id)
 				writeSpoiled(w, w.Header(), parts)
 			default:
@@ -71,6 +79,7 @@
 	var mu sync.Mutex
 	var tasks sync.WaitGroup
 	ok, failed, wrong := 0, 0, 0
+	begin.Store(time.Now().UnixNano())
 	for i := range total {
 		time.Sleep(time.Second / perSecond)
 		m := machines[i%len(machines)]
@@ -93,6 +102,7 @@
 		})
 	}
 	tasks.Wait()
+	r.sayf("%s answered %d requests in the %s in which it spoils answers, and spoiled %d", servers[0].id, spoilable.Load(), spoilFor, spoiled.Load())
 	r.sayf("%d requests: %d got the server's whole body, %d failed, %d got a success with another body", total, ok, failed, wrong)
 	return wrong > 0, nil
 }
