decider: end a move that its deadline finds without targets, or whose overtime is over

Cause: Plan.Next asked for targets of the new version only before the first stage, and for slots only by the requests in flight. Without targets it reported the move as late, once, and held it; without requests nothing held it. The same holds for every other reason to hold a move: too few slots, a suspicion that no further request dispels, the preference caution without evidence.

The ends are kept by a clock that is never set. The command is StepMove, as before, so that hosts of all builds apply the log alike.

Why it works: each reason to hold a move now passes one function, which knows the end. A move that is not held advances by its stages, which are bounded.

--- a/process/controller/decide.go
+++ b/process/controller/decide.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/hornbeamrack/hornbeamrack/common/clock"
 	"github.com/hornbeamrack/hornbeamrack/common/sleeper"
 	"github.com/hornbeamrack/hornbeamrack/version/applier"
 	"github.com/hornbeamrack/hornbeamrack/version/decider"
@@ -113,7 +114,7 @@
 func planFor(plans map[string]*decider.Plan, id string) *decider.Plan {
 	p, ok := plans[id]
 	if !ok {
-		p = &decider.Plan{MoveID: id}
+		p = &decider.Plan{MoveID: id, Uptime: clock.Now}
 		plans[id] = p
 	}
 	return p
@@ -128,7 +129,8 @@
 // advanceMove proposes the next step of a move if one is due.
 func (c *Controller) advanceMove(ctx context.Context, s applier.State, m applier.Move, p *decider.Plan) {
 	now := time.Now()
-	step, ok := p.Next(now, m, moveCapacity(s, m))
+	capacity := moveCapacity(s, m)
+	step, ok := p.Next(now, m, capacity)
 	if !ok {
 		return
 	}
@@ -144,7 +146,7 @@
 	}
 	if r.Outcome == applier.OutcomeAccepted {
 		c.Log.Info("move advanced", "service", m.Service, "to", m.To, "phase", step.Phase, "share", step.Share, "unsafeShare", step.UnsafeShare,
-			"version", r.Version, "leftMs", m.Deadline.Sub(now).Milliseconds(), "reason", step.Reason)
+			"version", r.Version, "leftMs", m.Deadline.Sub(now).Milliseconds(), "newSlots", capacity.NewSlots, "oldTargets", capacity.OldTargets, "reason", step.Reason)
 	}
 }
 
--- a/version/decider/decider.go
+++ b/version/decider/decider.go
@@ -17,7 +17,12 @@
 //   - A suspected regression, half of the score of a detected one, holds the
 //     stage with both preferences.
 //
-//   - Too few slots at the new version: its share stays at what they can serve.
+//   - Too few slots at the new version: its share stays at what they can serve. A
+//     move is never done while the new version has no targets.
+//
+//   - Deadline passed: a move without targets of the new version is rolled back.
+//     One with targets may still finish, for as long again as it had and at least
+//     for MinOvertime; if it is held by then, it is rolled back too.
 //
 //   - A detected regression: the move is rolled back at once, also within
 //     WatchDuration after it is done, as long as targets of the old version
@@ -155,12 +160,20 @@
 // use.
 type Plan struct {
 	MoveID string
+	// Uptime is a monotonic clock, so that a step of the wall clock ends no move early; the
+	// time that Next gets is used when it is nil.
+	Uptime func() time.Time
 
 	detector       RegressionDetector
 	stageStartedAt time.Time
 	shareSum       int     // shareSum is the sum of the two shares of the current stage.
 	inFlight       float64 // inFlight is the average number of requests in flight.
 	windowClosedAt time.Time
+
+	// uptime is the time of the last decision, and deadline and overtimeEnd are the ends of
+	// the move, all by Uptime.
+	uptime, deadline, overtimeEnd time.Time
+	newAbsence, oldAbsence        absence
 }
 
 // AddEvidence adds evidence to the open window.
@@ -170,6 +183,7 @@
 // returns false when the move stays as it is.
 func (p *Plan) Next(now time.Time, m applier.Move, c Capacity) (Step, bool) {
 	p.detector.Threshold = ThresholdOf(m)
+	p.track(now, m, c)
 	p.trackStage(now, m)
 	p.measureInFlight(now)
 	if regression := p.detector.CloseWindow(); regression != nil {
@@ -181,22 +195,22 @@
 	current := stageOf(m)
 	if current < 0 {
 		if c.NewSlots == 0 {
-			return p.reportLate(now, m, "no target of the new version has announced itself")
+			return p.hold(now, m, "no target of the new version has announced itself")
 		}
 		return scheduleStep(m, 0), true
 	}
 	if now.Before(p.stageEnd(m, current)) {
 		return Step{}, false
 	}
-	if reason := p.holdReason(m, current); reason != "" {
-		return p.reportLate(now, m, reason)
+	if reason := p.holdReason(m, c, current); reason != "" {
+		return p.hold(now, m, reason)
 	}
 	if current == len(scheduleOf(m).stages)-1 {
 		return Step{Phase: applier.PhaseDone, Reason: doneReason(now, m)}, true
 	}
 	next := scheduleStep(m, current+1)
 	if limit := p.maxShare(c); next.Share > limit {
-		return p.reportLate(now, m, fmt.Sprintf("the new version's %d slots carry only %.1f%% of the requests", c.NewSlots, float64(limit)/100))
+		return p.hold(now, m, fmt.Sprintf("the new version's %d slots carry only %.1f%% of the requests", c.NewSlots, float64(limit)/100))
 	}
 	return next, true
 }
@@ -236,20 +250,27 @@
 }
 
 // holdReason returns why the stage cannot end yet, or an empty string.
-func (p *Plan) holdReason(m applier.Move, current int) string {
-	if p.detector.SuspectsRegression() {
+func (p *Plan) holdReason(m applier.Move, c Capacity, current int) string {
+	switch {
+	case p.detector.SuspectsRegression():
 		return "the new version is under suspicion"
+	case !p.hasEvidence(m, current):
+		return fmt.Sprintf("too little evidence: the new version got %d requests in this stage", p.detector.StageRequests())
+	case c.NewSlots == 0:
+		return "the new version has no targets left"
 	}
+	return ""
+}
+
+// hasEvidence reports whether the evidence of the stage suffices to end it.
+func (p *Plan) hasEvidence(m applier.Move, current int) bool {
 	// The small shares deliver the first evidence, so they grow without any;
 	// beyond them, the preference caution requires it.
 	if m.Preference == applier.PreferDeadline || current < scheduleOf(m).smallStages-1 {
-		return ""
+		return true
 	}
 	wholeMove := current == scheduleOf(m).smallStages-1
-	if p.detector.HasEnoughRequests(false, minRequests, wholeMove) && p.detector.HasEnoughRequests(true, minUnsafeRequests, wholeMove) {
-		return ""
-	}
-	return fmt.Sprintf("too little evidence: the new version got %d requests in this stage", p.detector.StageRequests())
+	return p.detector.HasEnoughRequests(false, minRequests, wholeMove) && p.detector.HasEnoughRequests(true, minUnsafeRequests, wholeMove)
 }
 
 // reportLate returns a step that marks the move as late when the remaining
