controller: a move to another version takes the place of one past its deadline

A rollout that is past its deadline but may still finish (held by too few slots or by a suspicion) made the service refuse each later order, now for the length of its overtime, before without an end.

Cause: State.beginMove rejects any move while another one runs, and only an operator of the own interface can cancel that. Changing it there would let two builds apply one entry differently.

Change: the control host that takes an order ends a move past its deadline first, with StepMove and the phase cancelled, if the order could begin then; then it proposes the order as before. A move in time, one to the same version (whose targets a rollback would drain) and an order that was answered before are left alone. Both interfaces do so.

--- a/process/controller/document.go
+++ b/process/controller/document.go
@@ -121,24 +121,3 @@
 	}
 	return nil
 }
-
-// BeginMove begins a move. It is idempotent: a request with the same service,
-// version and deadline as a running or ended move is accepted again.
-func (c *Controller) BeginMove(ctx context.Context, cmd applier.BeginMove) (applier.Result, error) {
-	r, err := c.propose(ctx, cmd)
-	c.Log.Info("move requested", "service", cmd.Service, "to", cmd.To, "deadline", cmd.Deadline, "id", cmd.EditID, "outcome", r.Outcome, "message", r.Message, "err", err)
-	return r, err
-}
-
-// Move returns the latest move of a service; ok is false when there is none.
-func (c *Controller) Move(ctx context.Context, service string) (m applier.Move, ok bool, err error) {
-	s, err := c.LinearizableState(ctx)
-	if err != nil {
-		return applier.Move{}, false, err
-	}
-	t, _ := s.Traffic(service)
-	if t.Move == nil {
-		return applier.Move{}, false, nil
-	}
-	return *t.Move, true, nil
-}
--- /dev/null
+++ b/process/controller/moves.go
@@ -0,0 +1,63 @@
+package controller
+
+import (
+	"context"
+
+	"github.com/hornbeamrack/hornbeamrack/version/applier"
+)
+
+// BeginMove begins a move. It is idempotent: a request with the same service,
+// version and deadline as a running or ended move is accepted again.
+func (c *Controller) BeginMove(ctx context.Context, cmd applier.BeginMove) (applier.Result, error) {
+	s, err := c.LinearizableState(ctx)
+	if err != nil {
+		return applier.Result{}, err
+	}
+	return c.beginOrReplace(ctx, s, cmd)
+}
+
+// Move returns the latest move of a service; ok is false when there is none.
+func (c *Controller) Move(ctx context.Context, service string) (m applier.Move, ok bool, err error) {
+	s, err := c.LinearizableState(ctx)
+	if err != nil {
+		return applier.Move{}, false, err
+	}
+	t, _ := s.Traffic(service)
+	if t.Move == nil {
+		return applier.Move{}, false, nil
+	}
+	return *t.Move, true, nil
+}
+
+// beginOrReplace begins a move, and ends the overdue one of its service first. Both are
+// commands that hosts of earlier builds know, so that all hosts apply them alike.
+func (c *Controller) beginOrReplace(ctx context.Context, s applier.State, cmd applier.BeginMove) (applier.Result, error) {
+	if end, ok := endOfOverdueMove(s, cmd); ok {
+		r, err := c.propose(ctx, end)
+		c.Log.Info("overdue move replaced", "service", cmd.Service, "id", end.MoveID, "by", cmd.EditID, "to", cmd.To, "outcome", r.Outcome, "message", r.Message, "err", err)
+		if err != nil {
+			return r, err
+		}
+	}
+	r, err := c.propose(ctx, cmd)
+	c.Log.Info("move requested", "service", cmd.Service, "to", cmd.To, "deadline", cmd.Deadline, "id", cmd.EditID, "outcome", r.Outcome, "message", r.Message, "err", err)
+	return r, err
+}
+
+// endOfOverdueMove returns the command that ends the running move of a service, so that cmd
+// can begin another one. ok is false if that move has not passed its deadline, if it is to
+// the same version, whose targets must not stop, or if cmd would be rejected all the same.
+func endOfOverdueMove(s applier.State, cmd applier.BeginMove) (end applier.StepMove, ok bool) {
+	t, _ := s.Traffic(cmd.Service)
+	if t.Move == nil || !t.Move.Running() || t.Move.To == cmd.To || !cmd.At.After(t.Move.Deadline) {
+		return end, false
+	}
+	if _, answered := s.Result(cmd.EditID); answered {
+		return end, false // It is sent again.
+	}
+	end = applier.StepMove{MoveID: t.Move.ID, Service: cmd.Service, OldShare: t.Move.Share, Phase: applier.PhaseCancelled,
+		Reason: "replaced after its deadline by a move to " + cmd.To, At: cmd.At}
+	ended, _ := s.Next(0, end)
+	_, r := ended.Next(0, cmd)
+	return end, r.Outcome == applier.OutcomeAccepted
+}
--- a/process/controller/operators.go
+++ b/process/controller/operators.go
@@ -197,12 +197,17 @@
 	return s, nil
 }
 
-// proposeEdit proposes an edit and writes its result. A conflict has status 409, a
-// rejected edit 422 and an unreachable leader 503.
+// proposeEdit proposes an edit and writes its result.
 func (c *Controller) proposeEdit(ctx fiber.Ctx, cmd applier.Command) error {
 	call, cancel := withOperatorTimeout(ctx)
 	defer cancel()
 	r, err := c.propose(call, cmd)
+	return writeResult(ctx, r, err)
+}
+
+// writeResult writes the result of an edit. A conflict has status 409, a rejected edit 422
+// and an unreachable leader 503.
+func writeResult(ctx fiber.Ctx, r applier.Result, err error) error {
 	if err != nil {
 		return fiber.NewError(fiber.StatusServiceUnavailable, err.Error())
 	}
@@ -340,10 +345,17 @@
 	if reason := decider.InfeasibleReason(time.Now(), req.Deadline); reason != "" {
 		return ctx.Status(fiber.StatusUnprocessableEntity).JSON(applier.Result{EditID: req.EditID, Outcome: applier.OutcomeRefused, Message: reason})
 	}
-	return c.proposeEdit(ctx, applier.BeginMove{
+	s, err := c.currentState(ctx)
+	if err != nil {
+		return err
+	}
+	call, cancel := withOperatorTimeout(ctx)
+	defer cancel()
+	r, err := c.beginOrReplace(call, s, applier.BeginMove{
 		EditID: req.EditID, Service: req.Service, From: req.From, To: req.To, Deadline: req.Deadline,
 		Preference: req.Preference, Team: teamOf(ctx), At: time.Now(),
 	})
+	return writeResult(ctx, r, err)
 }
 
 // cancelMove cancels the running move of a service.
