controller: carry out an order again that equals an earlier one whose move has ended

Cause: the platform's orders carry no id, so service, version and duration are taken for one, and the result of an id is kept among the last 10,000.

Change: an equal order keeps the id of the earlier one while that runs, for 10 s after its beginning (orders are sent again for 4 s, and clocks of hosts differ by seconds), and once its version serves; otherwise it gets an id of its own, the same at each host.

--- a/process/controller/moves.go
+++ b/process/controller/moves.go
@@ -2,17 +2,26 @@
 
 import (
 	"context"
+	"fmt"
+	"slices"
+	"time"
 
 	"github.com/hornbeamrack/hornbeamrack/version/applier"
 )
 
-// BeginMove begins a move. It is idempotent: a request with the same service,
-// version and deadline as a running or ended move is accepted again.
+// orderResendTime is how long after an order without an ID an equal one counts as sent again:
+// operators send an order again for 4 s, and the clocks of control hosts differ by seconds.
+const orderResendTime = 10 * time.Second
+
+// BeginMove begins the move of an order that has no ID of its own. cmd.EditID is derived
+// from the content of the order. It is idempotent: an equal order is accepted again while
+// the move runs, as a resend, and once its version serves. Later it is an order of its own.
 func (c *Controller) BeginMove(ctx context.Context, cmd applier.BeginMove) (applier.Result, error) {
 	s, err := c.LinearizableState(ctx)
 	if err != nil {
 		return applier.Result{}, err
 	}
+	cmd.EditID = orderID(s, cmd)
 	return c.beginOrReplace(ctx, s, cmd)
 }
 
@@ -61,3 +70,30 @@
 	_, r := ended.Next(0, cmd)
 	return end, r.Outcome == applier.OutcomeAccepted
 }
+
+// orderID returns the ID of the move that an order without an ID stands for: that of an
+// earlier equal order if this one is a resend of it, else one that is not used yet.
+func orderID(s applier.State, cmd applier.BeginMove) string {
+	t, _ := s.Traffic(cmd.Service)
+	id := cmd.EditID
+	for n := 2; ; n++ {
+		if _, answered := s.Result(id); !answered || t.ServingVersion == cmd.To || isCurrentOrder(s, t, id, cmd.At) {
+			return id
+		}
+		id = fmt.Sprintf("%s#%d", cmd.EditID, n)
+	}
+}
+
+// isCurrentOrder reports whether the move with an ID runs, or began so short a time before
+// now that an equal order counts as a resend.
+func isCurrentOrder(s applier.State, t applier.Traffic, id string, now time.Time) bool {
+	m := t.Move
+	if m == nil || m.ID != id {
+		i := slices.IndexFunc(s.PastMoves, func(m applier.Move) bool { return m.ID == id })
+		if i < 0 {
+			return false
+		}
+		m = &s.PastMoves[i]
+	}
+	return m.Running() || now.Sub(m.BegunAt).Abs() < orderResendTime
+}
--- a/process/controller/moves_test.go
+++ b/process/controller/moves_test.go
@@ -109,3 +109,43 @@
 	h.is.Equal(h.order("v2", now.Add(4*time.Second), time.Second).Outcome, applier.OutcomeAccepted)
 	h.is.True(h.move().Running() && h.move().To == "v3")
 }
+
+// TestRepeatedOrderIsCarriedOut guards against an order that is acknowledged and not carried
+// out, since an equal one was given earlier and has ended.
+func TestRepeatedOrderIsCarriedOut(t *testing.T) {
+	h := newMoveHost(t)
+	now := time.Now()
+	const duration = 12 * time.Second
+	h.is.Equal(h.order("v2", now, duration).Outcome, applier.OutcomeAccepted)
+	first := h.move()
+	h.is.Equal(h.order("v2", now.Add(11*time.Second), duration).Outcome, applier.OutcomeAccepted) // it runs
+	h.is.Equal(h.move(), first)
+	h.end(applier.PhaseRolledBack)
+	h.is.Equal(h.order("v2", now.Add(4*time.Second), duration).Outcome, applier.OutcomeAccepted)  // a resend
+	h.is.Equal(h.order("v2", now.Add(-5*time.Second), duration).Outcome, applier.OutcomeAccepted) // by a clock that is behind
+	h.is.Equal(h.move().Phase, applier.PhaseRolledBack)
+	again := now.Add(20 * time.Second)
+	h.is.Equal(h.order("v2", again, duration).Outcome, applier.OutcomeAccepted)
+	second := h.move()
+	h.is.True(second.Running() && second.ID != first.ID)
+	h.is.Equal(h.order("v2", again.Add(4*time.Second), duration).Outcome, applier.OutcomeAccepted) // a resend of the second
+	h.is.Equal(h.move(), second)
+	h.end(applier.PhaseRolledBack)
+	// Another order in between does not matter.
+	h.is.Equal(h.order("v3", again.Add(30*time.Second), duration).Outcome, applier.OutcomeAccepted)
+	h.end(applier.PhaseRolledBack)
+	h.is.Equal(h.order("v2", again.Add(60*time.Second), duration).Outcome, applier.OutcomeAccepted)
+	h.is.True(h.move().Running() && h.move().To == "v2")
+	h.end(applier.PhaseDone)
+	// Its version serves, so there is nothing left to do.
+	h.is.Equal(h.order("v2", again.Add(time.Hour), duration).Outcome, applier.OutcomeAccepted)
+	h.is.Equal(h.move().Phase, applier.PhaseDone)
+	// Back to the earlier version, and forth again.
+	h.is.Equal(h.order("v1", again.Add(2*time.Hour), duration).Outcome, applier.OutcomeAccepted)
+	h.end(applier.PhaseDone)
+	h.is.Equal(h.order("v2", again.Add(3*time.Hour), duration).Outcome, applier.OutcomeAccepted)
+	h.is.True(h.move().Running() && h.move().To == "v2")
+	h.end(applier.PhaseDone)
+	h.is.Equal(h.order("v1", again.Add(4*time.Hour), duration).Outcome, applier.OutcomeAccepted)
+	h.is.True(h.move().Running() && h.move().To == "v1")
+}
