acceptor: a limit on idle connections ends no request at work

Cause: while a request is open, conn.idleUntil returns the given time plus the limit. awaitRequest gave it the time before its wait. A wait of the whole limit thus ended at the very moment that was too late, though a request was open; the requests of the connection were then cancelled. The wait is the lesser of the limit and 2 s, so limits of up to 2 s were affected.

Change: the limit is judged by the time after the wait, at which an open request is never idle. A connection with an open request wakes no more often than every 100 ms for a short limit.

--- a/connection/acceptor/conn.go
+++ b/connection/acceptor/conn.go
@@ -21,6 +21,9 @@
 	// idleCheckInterval is the maximum time until a changed idle timeout is in force on a
 	// connection that is idle already.
 	idleCheckInterval = 2 * time.Second
+	// minIdleCheckInterval bounds how often a connection checks a short idle timeout while
+	// a request is open.
+	minIdleCheckInterval = 100 * time.Millisecond
 )
 
 // conn is one connection of a caller.
@@ -134,8 +137,8 @@
 func (c *conn) awaitRequest() bool {
 	for {
 		now := time.Now()
-		wait := min(c.idleUntil(now).Sub(now), idleCheckInterval)
-		_ = c.nc.SetReadDeadline(now.Add(wait))
+		wait := c.idleUntil(now).Sub(now)
+		_ = c.nc.SetReadDeadline(now.Add(min(max(wait, minIdleCheckInterval), idleCheckInterval)))
 		if c.isClosing() {
 			return false
 		}
@@ -143,7 +146,7 @@
 		if err == nil {
 			return true
 		}
-		if !isTimeout(err) || c.isClosing() || !time.Now().Before(c.idleUntil(now)) {
+		if !isTimeout(err) || c.isClosing() || c.isIdleTooLong(time.Now()) {
 			c.peerDisconnected()
 			return false
 		}
@@ -162,6 +165,10 @@
 	return c.idleSince.Add(timeout)
 }
 
+// isIdleTooLong reports whether the connection has been idle for too long at now. It never
+// is while an exchange is open.
+func (c *conn) isIdleTooLong(now time.Time) bool { return !now.Before(c.idleUntil(now)) }
+
 // awaitDisconnect discards input until the caller disconnects. It is used when the
 // connection ends with a response that is still to be written.
 func (c *conn) awaitDisconnect() {
