acceptor: a planned stop cuts no response that is still streamed

On a server that drains, the last response of a connection was cut if it was streamed for longer than 2 s, and after 0.5 s if the caller had sent a further request behind it.

Cause: the connection is marked as closing when its last response begins. The goroutine that reads took that mark for the end: at its next wake, or when it had read a further request and waited for lingerTimeout, it cancelled the context of the exchange, which ends the stream.

Change: while an exchange of a closing connection is open, further input is discarded without a limit of time; lingerTimeout begins when the last one has ended.

--- a/connection/acceptor/conn.go
+++ b/connection/acceptor/conn.go
@@ -41,6 +41,7 @@
 	mu      sync.Mutex
 	pending int
 	closing bool // closing means that no further request is accepted.
+	stopped bool // stopped means that the server has shut down.
 	// idleSince is when the last exchange ended, or the connection was accepted.
 	idleSince time.Time
 }
@@ -68,7 +69,7 @@
 // stop ends the reading of requests when the server shuts down.
 func (c *conn) stop() {
 	c.mu.Lock()
-	c.closing = true
+	c.closing, c.stopped = true, true
 	c.mu.Unlock()
 	_ = c.nc.SetReadDeadline(time.Now())
 }
@@ -92,8 +93,7 @@
 		}
 		if !c.beginExchange() {
 			x.releaseBody()
-			_ = c.nc.SetReadDeadline(time.Now().Add(lingerTimeout))
-			c.awaitDisconnect()
+			c.awaitLastResponse()
 			return
 		}
 		x.ReceivedAt = time.Now()
@@ -140,13 +140,14 @@
 		wait := c.idleUntil(now).Sub(now)
 		_ = c.nc.SetReadDeadline(now.Add(min(max(wait, minIdleCheckInterval), idleCheckInterval)))
 		if c.isClosing() {
+			c.awaitLastResponse()
 			return false
 		}
 		err := c.in.awaitByte()
 		if err == nil {
 			return true
 		}
-		if !isTimeout(err) || c.isClosing() || c.isIdleTooLong(time.Now()) {
+		if !isTimeout(err) || c.isIdleTooLong(time.Now()) {
 			c.peerDisconnected()
 			return false
 		}
@@ -169,6 +170,28 @@
 // is while an exchange is open.
 func (c *conn) isIdleTooLong(now time.Time) bool { return !now.Before(c.idleUntil(now)) }
 
+// awaitLastResponse discards input while the last response of a closing connection is
+// written, and then until the caller disconnects or lingerTimeout is over. It cancels the
+// open exchanges only when the caller has disconnected or the server has shut down.
+func (c *conn) awaitLastResponse() {
+	buf := make([]byte, discardBytes)
+	for {
+		_ = c.nc.SetReadDeadline(time.Now().Add(lingerTimeout))
+		if c.isStopped() {
+			c.peerDisconnected()
+			return
+		}
+		if !c.busy() {
+			c.awaitDisconnect()
+			return
+		}
+		if _, err := c.in.Read(buf); err != nil && !isTimeout(err) {
+			c.peerDisconnected()
+			return
+		}
+	}
+}
+
 // awaitDisconnect discards input until the caller disconnects. It is used when the
 // connection ends with a response that is still to be written.
 func (c *conn) awaitDisconnect() {
@@ -195,6 +218,12 @@
 	return c.closing
 }
 
+func (c *conn) isStopped() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stopped
+}
+
 // busy reports whether an exchange is open.
 func (c *conn) busy() bool {
 	c.mu.Lock()
