acceptor: the time to write a response is for each part of it

A response was cut 10 s after it began, whatever was still arriving: a stream that takes longer, and a caller that reads slowly.

Cause: the deadline for writing was set once, for the whole response.

Change: each part of up to 64 KB has the 10 s.

--- a/connection/acceptor/conn.go
+++ b/connection/acceptor/conn.go
@@ -17,7 +17,9 @@
 
 const (
 	writeBufferBytes = 4 << 10
-	discardBytes     = 1 << 10
+	// maxWriteBytes is how much of a response writeTimeout is for.
+	maxWriteBytes = 64 << 10
+	discardBytes  = 1 << 10
 	// idleCheckInterval is the maximum time until a changed idle timeout is in force on a
 	// connection that is idle already.
 	idleCheckInterval = 2 * time.Second
@@ -49,7 +51,7 @@
 func newConn(s *Server, nc net.Conn) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &conn{
-		server: s, nc: nc, ctx: ctx, cancel: cancel, bw: bufio.NewWriterSize(nc, writeBufferBytes),
+		server: s, nc: nc, ctx: ctx, cancel: cancel, bw: bufio.NewWriterSize(responseWriter{nc}, writeBufferBytes),
 		slots: make(chan struct{}, maxPipelinedRequests), responsesEnded: make(chan struct{}), idleSince: time.Now(),
 	}
 }
@@ -313,6 +315,24 @@
 	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED)
 }
 
+// responseWriter writes to a connection. Each part of a response has writeTimeout, so that
+// neither a long stream nor a caller that reads slowly ends it, but one that reads nothing.
+type responseWriter struct{ nc net.Conn }
+
+// Write implements io.Writer.
+func (w responseWriter) Write(p []byte) (written int, err error) {
+	for len(p) > 0 && err == nil {
+		part := p[:min(len(p), maxWriteBytes)]
+		if err = w.nc.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			break
+		}
+		var n int
+		n, err = w.nc.Write(part)
+		written, p = written+n, p[n:]
+	}
+	return written, err
+}
+
 // writeResponse writes a response. Then it allows the next exchange to write, or ends
 // the connection after the last response or a failed write.
 func (c *conn) writeResponse(x *Exchange) {
--- a/connection/acceptor/exchange.go
+++ b/connection/acceptor/exchange.go
@@ -103,9 +103,6 @@
 	if x.Request.Header.IsHead() {
 		x.Response.SkipBody = true
 	}
-	if err := x.conn.nc.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
-	}
 	if err := x.Response.Write(bw); err != nil {
 		return err
 	}
--- a/connection/acceptor/stream_test.go
+++ b/connection/acceptor/stream_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -88,3 +89,74 @@
 		})
 	}
 }
+
+// TestLongStreamIsWhole guards against a response that is cut since the whole of it takes
+// longer than one write may.
+func TestLongStreamIsWhole(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const parts = 24
+	address := start(t, &Server{Handler: func(x *Exchange) {
+		x.Response.SetBodyStream(&slowStream{x.Context(), parts, writeTimeout / 20}, -1)
+	}})
+	conn := dial(t, address, get("/"))
+	_ = conn.SetDeadline(time.Now().Add(2 * writeTimeout))
+	is.Equal(readChunks(t, bufio.NewReader(conn)), strings.Repeat("part", parts))
+}
+
+// smallBuffers is a listener whose connections buffer little in the kernel.
+type smallBuffers struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l smallBuffers) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err == nil {
+		err = conn.(*net.TCPConn).SetWriteBuffer(smallBufferBytes)
+	}
+	return conn, err
+}
+
+const smallBufferBytes = 16 << 10
+
+// TestSlowReaderGetsWholeResponse guards against a response that is cut although its caller
+// reads all the time, but slowly.
+func TestSlowReaderGetsWholeResponse(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const size, reads = 2 << 20, 24
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	s := &Server{Handler: func(x *Exchange) { x.Response.SetBody(make([]byte, size)) }}
+	go func() { _ = s.Serve(smallBuffers{l}) }()
+	conn := dial(t, l.Addr().String(), "")
+	is.NoErr(conn.(*net.TCPConn).SetReadBuffer(smallBufferBytes))
+	_ = conn.SetDeadline(time.Now().Add(3 * writeTimeout))
+	_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+	is.NoErr(err)
+	read, part := 0, make([]byte, size/reads)
+	for err == nil {
+		time.Sleep(writeTimeout / 20)
+		var n int
+		n, err = io.ReadFull(conn, part)
+		read += n
+	}
+	t.Logf("%d bytes read: %v", read, err)
+	is.True(read > size)
+}
+
+// TestStalledReaderIsDisconnected guards against a response that waits for good for a
+// caller that does not read.
+func TestStalledReaderIsDisconnected(t *testing.T) {
+	t.Parallel()
+	s := &Server{Handler: func(x *Exchange) { x.Response.SetBody(make([]byte, 64<<20)) }}
+	dial(t, start(t, s), get("/"))
+	for end := time.Now().Add(2 * writeTimeout); ; time.Sleep(10 * time.Millisecond) {
+		if s.LastRequestAt().Unix() > 0 && s.OpenRequests() == 0 {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("the response is still being written")
+		}
+	}
+}
