decider: no move is done while nothing is heard of the new targets' nodes

Cause: targets are removed when the lease of their node ends, 10 s after it was last heard of; a short rollout is done by then.

Change: the last step of a move waits while no node of its new targets has been heard of for 5 s (nodes call every 3 s at least, hosts report to the leader every second). It is no reason to roll back by itself: the end comes with the lease, or with the overtime, or the move is done when a node is heard of again (TestSilentHostsHoldTheEnd). A new leader counts the silence anew.

--- a/process/controller/decide.go
+++ b/process/controller/decide.go
@@ -129,7 +129,7 @@
 // advanceMove proposes the next step of a move if one is due.
 func (c *Controller) advanceMove(ctx context.Context, s applier.State, m applier.Move, p *decider.Plan) {
 	now := time.Now()
-	capacity := moveCapacity(s, m)
+	capacity := c.moveCapacity(s, m)
 	step, ok := p.Next(now, m, capacity)
 	if !ok {
 		return
@@ -146,22 +146,25 @@
 	}
 	if r.Outcome == applier.OutcomeAccepted {
 		c.Log.Info("move advanced", "service", m.Service, "to", m.To, "phase", step.Phase, "share", step.Share, "unsafeShare", step.UnsafeShare,
-			"version", r.Version, "leftMs", m.Deadline.Sub(now).Milliseconds(), "newSlots", capacity.NewSlots, "oldTargets", capacity.OldTargets, "reason", step.Reason)
+			"version", r.Version, "leftMs", m.Deadline.Sub(now).Milliseconds(), "newSlots", capacity.NewSlots, "newSilent", capacity.NewSilent, "oldTargets", capacity.OldTargets, "reason", step.Reason)
 	}
 }
 
-// moveCapacity returns the slots of the new version and the targets left of the
-// old one.
-func moveCapacity(s applier.State, m applier.Move) decider.Capacity {
-	var c decider.Capacity
+// moveCapacity returns the slots of the new version, whether the hosts of its targets are
+// silent, and the targets left of the old one.
+func (c *Controller) moveCapacity(s applier.State, m applier.Move) decider.Capacity {
+	var capacity decider.Capacity
+	heard := false
 	for _, e := range s.Endpoints {
 		switch {
 		case e.Service != m.Service:
 		case e.Version == m.To:
-			c.NewSlots += e.Slots
+			capacity.NewSlots += e.Slots
+			heard = heard || !c.nodes.silent(e.Node)
 		case e.Version == m.From:
-			c.OldTargets++
+			capacity.OldTargets++
 		}
 	}
-	return c
+	capacity.NewSilent = capacity.NewSlots > 0 && !heard
+	return capacity
 }
--- a/process/controller/nodes.go
+++ b/process/controller/nodes.go
@@ -17,6 +17,10 @@
 	// expires, and expireNodes proposes to remove the node's targets.
 	NodeLease = 10 * time.Second
 
+	// maxNodeSilence is the time without a heartbeat after which a node may be lost. Nodes
+	// call every 3 s at least, and other hosts report that to the leader within a second.
+	maxNodeSilence = 5 * time.Second
+
 	// reportInterval is the time between two reports to the leader, or between two
 	// checks of the leases on the leader.
 	reportInterval = time.Second
@@ -141,6 +145,15 @@
 	return out
 }
 
+// silent reports whether nothing has been heard of a node for maxNodeSilence, though this
+// host has led for that long.
+func (t *nodeTable) silent(node string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := t.nodes[node]
+	return n != nil && time.Since(n.leaseExpiresAt.Add(-NodeLease)) > maxNodeSilence
+}
+
 // renewLeases gives every node a new lease. It is called when this host becomes
 // the leader.
 func (t *nodeTable) renewLeases() {
--- a/stand/starter/rollout_integration_test.go
+++ b/stand/starter/rollout_integration_test.go
@@ -69,13 +69,13 @@
 	}
 }
 
-// newRolloutMesh starts control hosts and nodes; the first one has a server of version v1
-// that serves.
-func newRolloutMesh(t *testing.T) (m *platformMesh, ctx context.Context) {
+// newRolloutMesh starts control hosts and two nodes; the first one has a server of version v1
+// that serves. It returns the second one and a context for the servers.
+func newRolloutMesh(t *testing.T) (m *platformMesh, second *Node, ctx context.Context) {
 	t.Helper()
 	m, _ = newControlMesh(t, 5)
 	first := m.start(3, "node.yaml", true)
-	m.start(4, "node.yaml", true)
+	second = m.start(4, "node.yaml", true)
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(cancel)
 	go m.announceServer(ctx, 3, "v1")
@@ -85,7 +85,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return m, ctx
+	return m, second, ctx
 }
 
 // TestRolloutWithoutServersEnds guards against a rollout whose servers never come or are
@@ -93,7 +93,7 @@
 func TestRolloutWithoutServersEnds(t *testing.T) {
 	is := is.New(t)
 	const duration = 4 * time.Second
-	m, ctx := newRolloutMesh(t)
+	m, _, ctx := newRolloutMesh(t)
 	is.Equal(m.orderRollout("v2", duration), 200)
 	begun := time.Now()
 	m.awaitRollout(time.Second, "running", "v2")
@@ -106,3 +106,16 @@
 	is.Equal(m.orderRollout("v2", 2*duration), 503) // not beside a rollout that runs
 	m.awaitRollout(8*time.Second, "succeeded", "v3")
 }
+
+// TestRolloutToLostNodeIsNotDone guards against a rollout that is reported as succeeded while
+// the machine of its only server is lost, before its targets are removed. No request shows it.
+func TestRolloutToLostNodeIsNotDone(t *testing.T) {
+	is := is.New(t)
+	const duration = 8 * time.Second
+	m, second, ctx := newRolloutMesh(t)
+	is.Equal(m.orderRollout("v2", duration), 200) // v1 serves by then
+	go m.announceServer(ctx, 4, "v2")
+	time.Sleep(2 * time.Second)
+	second.Kill()
+	m.awaitRollout(duration+3*rolloutLimit, "rolled_back", "v2")
+}
--- a/version/decider/decider.go
+++ b/version/decider/decider.go
@@ -18,7 +18,8 @@
 //     stage with both preferences.
 //
 //   - Too few slots at the new version: its share stays at what they can serve. A
-//     move is never done while the new version has no targets.
+//     move is never done while the new version has no targets, or nothing is heard
+//     of their hosts.
 //
 //   - Deadline passed: a move without targets of the new version is rolled back.
 //     One with targets may still finish, for as long again as it had and at least
@@ -146,6 +147,9 @@
 type Capacity struct {
 	NewSlots   int // NewSlots is the number of slots of the new version's targets.
 	OldTargets int // OldTargets is the number of targets of the old version that remain.
+	// NewSilent is whether nothing has been heard lately of any host of the new version's
+	// targets, so that they may be lost.
+	NewSilent bool
 }
 
 // Step is the next state of a move. Shares are in basis points.
@@ -258,6 +262,8 @@
 		return fmt.Sprintf("too little evidence: the new version got %d requests in this stage", p.detector.StageRequests())
 	case c.NewSlots == 0:
 		return "the new version has no targets left"
+	case c.NewSilent && current == len(scheduleOf(m).stages)-1:
+		return "the hosts of the new version's targets are silent"
 	}
 	return ""
 }
--- a/version/decider/overdue_test.go
+++ b/version/decider/overdue_test.go
@@ -19,6 +19,7 @@
 	preference applier.Preference
 	newSlots   func(at time.Duration) int
 	oldTargets func(at time.Duration) int
+	newSilent  func(at time.Duration) bool
 	requests   func(at time.Duration) []Evidence    // requests is the evidence of one decision.
 	leaderTime time.Duration                        // leaderTime is how long each leader stays; zero is for good.
 	wallStep   func(at time.Duration) time.Duration // wallStep is how far the leader's wall clock is ahead.
@@ -49,6 +50,9 @@
 		if c.oldTargets != nil {
 			capacity.OldTargets = c.oldTargets(now)
 		}
+		if c.newSilent != nil {
+			capacity.NewSilent = c.newSilent(now)
+		}
 		if c.requests != nil {
 			for _, e := range c.requests(now) {
 				p.AddEvidence(e)
@@ -178,6 +182,21 @@
 	}
 }
 
+// TestSilentHostsHoldTheEnd guards against a move that is reported as done while the hosts of
+// the new version's targets are lost and their targets not removed yet. It goes on when they
+// are heard of again.
+func TestSilentHostsHoldTheEnd(t *testing.T) {
+	is := is.New(t)
+	const length, heardAt = 12 * time.Second, 14 * time.Second
+	silent := func(at time.Duration) bool { return at >= 7*time.Second }
+	step, at := overdueSimulation{length: length, newSilent: silent, newSlots: slotsUntil(heardAt)}.run()
+	is.Equal(step.Phase, applier.PhaseRolledBack)
+	is.True(at <= heardAt+AbsenceTime+2*DecisionInterval)
+	step, at = overdueSimulation{length: length, newSilent: func(at time.Duration) bool { return silent(at) && at < heardAt }}.run()
+	is.Equal(step.Phase, applier.PhaseDone)
+	is.True(at >= heardAt)
+}
+
 // TestSlowMovesAreKept guards against a move that is rolled back although it can still
 // finish: its targets are late, away for a moment, or some of them lost, or it was held.
 func TestSlowMovesAreKept(t *testing.T) {
