controller: only a move that the leader counts as late gives way to another

Found on reading the change again; nobody saw it. A control host whose clock is ahead took a move in time for one past its deadline, so an order of a second operator would have ended it.

Change: the move must be marked as late, which the leader does by its own clock, and be past its deadline by the clock of the host that takes the order. Each held move past its deadline has the mark. TestOverdueMoveGivesWay has the row, red before (accepted for refused); package green.

--- a/process/controller/moves.go
+++ b/process/controller/moves.go
@@ -54,11 +54,15 @@
 }
 
 // endOfOverdueMove returns the command that ends the running move of a service, so that cmd
-// can begin another one. ok is false if that move has not passed its deadline, if it is to
-// the same version, whose targets must not stop, or if cmd would be rejected all the same.
+// can begin another one. ok is false unless that move has passed its deadline by this host's
+// clock and is late by the leader's, if it is to the same version, whose targets must not
+// stop, or if cmd would be rejected all the same.
 func endOfOverdueMove(s applier.State, cmd applier.BeginMove) (end applier.StepMove, ok bool) {
 	t, _ := s.Traffic(cmd.Service)
-	if t.Move == nil || !t.Move.Running() || t.Move.To == cmd.To || !cmd.At.After(t.Move.Deadline) {
+	if t.Move == nil || !t.Move.Running() || t.Move.To == cmd.To {
+		return end, false
+	}
+	if !t.Move.Late || !cmd.At.After(t.Move.Deadline) {
 		return end, false
 	}
 	if _, answered := s.Result(cmd.EditID); answered {
--- a/process/controller/moves_test.go
+++ b/process/controller/moves_test.go
@@ -67,6 +67,13 @@
 	h.is.Equal(r.Outcome, applier.OutcomeAccepted)
 }
 
+// markLate marks the running move as late, as the leader does.
+func (h moveHost) markLate() {
+	m := h.move()
+	r := h.propose(applier.StepMove{MoveID: m.ID, Service: m.Service, OldShare: m.Share, Phase: applier.PhaseRunning, Late: true, Reason: "test", At: time.Now()})
+	h.is.Equal(r.Outcome, applier.OutcomeAccepted)
+}
+
 // move returns the latest move.
 func (h moveHost) move() applier.Move {
 	m, ok, err := h.Move(context.Background(), "designs")
@@ -84,6 +91,8 @@
 	h.is.Equal(h.order("v3", now.Add(6*time.Second), 12*time.Second).Outcome, applier.OutcomeRefused) // v2 is in time
 	h.is.Equal(h.move().To, "v2")
 	late := now.Add(13 * time.Second)
+	h.is.Equal(h.order("v3", late, 12*time.Second).Outcome, applier.OutcomeRefused) // not late by the leader's clock
+	h.markLate()
 	h.is.Equal(h.order("v2", late, 20*time.Second).Outcome, applier.OutcomeRefused) // its targets must not stop
 	h.is.Equal(h.order("v1", late, 12*time.Second).Outcome, applier.OutcomeRefused) // it could not begin
 	h.is.True(h.move().Running() && h.move().To == "v2")
@@ -106,6 +115,7 @@
 	h.is.Equal(h.order("v2", now, time.Second).Outcome, applier.OutcomeAccepted)
 	h.end(applier.PhaseRolledBack)
 	h.is.Equal(h.order("v3", now.Add(time.Second), time.Second).Outcome, applier.OutcomeAccepted)
+	h.markLate()
 	h.is.Equal(h.order("v2", now.Add(4*time.Second), time.Second).Outcome, applier.OutcomeAccepted)
 	h.is.True(h.move().Running() && h.move().To == "v3")
 }
