--- a/process/controller/moves_test.go
+++ b/process/controller/moves_test.go
@@ -83,7 +83,7 @@
 }
 
 // TestOverdueMoveGivesWay guards against a move that is past its deadline, held, and blocks
-// the next one until its overtime ends.
+// the next one until its grace period ends.
 func TestOverdueMoveGivesWay(t *testing.T) {
 	h := newMoveHost(t)
 	now := time.Now()
--- a/version/decider/decider.go
+++ b/version/decider/decider.go
@@ -23,7 +23,7 @@
 //
 //   - Deadline passed: a move without targets of the new version is rolled back.
 //     One with targets may still finish, for as long again as it had and at least
-//     for MinOvertime; if it is held by then, it is rolled back too.
+//     for MinGracePeriod; if it is held by then, it is rolled back too.
 //
 //   - A detected regression: the move is rolled back at once, also within
 //     WatchDuration after it is done, as long as targets of the old version
@@ -174,10 +174,10 @@
 	inFlight       float64 // inFlight is the average number of requests in flight.
 	windowClosedAt time.Time
 
-	// uptime is the time of the last decision, and deadline and overtimeEnd are the ends of
+	// uptime is the time of the last decision, and deadline and graceEnd are the ends of
 	// the move, all by Uptime.
-	uptime, deadline, overtimeEnd time.Time
-	newAbsence, oldAbsence        absence
+	uptime, deadline, graceEnd time.Time
+	newAbsence, oldAbsence     absence
 }
 
 // AddEvidence adds evidence to the open window.
--- a/version/decider/overdue.go
+++ b/version/decider/overdue.go
@@ -7,17 +7,17 @@
 )
 
 const (
-	// MinOvertime is the shortest time that a move gets after its deadline to finish. A
+	// MinGracePeriod is the shortest time that a move gets after its deadline to finish; a
 	// longer move gets as long again as it had.
-	MinOvertime = 30 * time.Second
+	MinGracePeriod = 30 * time.Second
 	// AbsenceTime is how long a version must have no targets until that ends a move: a node
 	// that restarts, or changes its control host, announces its targets again within it.
 	AbsenceTime = 3 * time.Second
 )
 
-// OvertimeEnd returns when a move that is still held ends.
-func OvertimeEnd(m applier.Move) time.Time {
-	return m.Deadline.Add(max(m.Deadline.Sub(m.BegunAt), MinOvertime))
+// gracePeriod returns how long after its deadline a move that is held may still finish.
+func gracePeriod(m applier.Move) time.Duration {
+	return max(m.Deadline.Sub(m.BegunAt), MinGracePeriod)
 }
 
 // absence is how long a target version has been without targets.
@@ -48,7 +48,7 @@
 		// A wall clock that was set back must not lengthen the move.
 		left := min(m.Deadline.Sub(now), m.Deadline.Sub(m.BegunAt))
 		p.deadline = p.uptime.Add(left)
-		p.overtimeEnd = p.deadline.Add(OvertimeEnd(m).Sub(m.Deadline))
+		p.graceEnd = p.deadline.Add(gracePeriod(m))
 	}
 	p.newAbsence.update(p.uptime, c.NewSlots == 0)
 	p.oldAbsence.update(p.uptime, c.OldTargets == 0)
@@ -72,7 +72,7 @@
 }
 
 // overdueStep returns the step that ends a move after its deadline. It returns false while
-// the move may still finish. A move that is held to the end of its overtime is rolled back,
+// the move may still finish. A move that is held to the end of its grace period is rolled back,
 // unless only the new version still has targets.
 func (p *Plan) overdueStep(reason string) (Step, bool) {
 	switch {
@@ -80,7 +80,7 @@
 		return Step{}, false
 	case p.newAbsence.lasting(p.uptime):
 		return Step{Phase: applier.PhaseRolledBack, Reason: "the deadline has passed and the new version has no targets"}, true
-	case p.uptime.Before(p.overtimeEnd):
+	case p.uptime.Before(p.graceEnd):
 		return Step{}, false
 	case p.newAbsence.since.IsZero() && p.oldAbsence.lasting(p.uptime):
 		return Step{Phase: applier.PhaseDone, Reason: "the old version has no targets left, and the time after the deadline is over: " + reason}, true
--- a/version/decider/overdue_test.go
+++ b/version/decider/overdue_test.go
@@ -26,7 +26,7 @@
 }
 
 // run returns the step that ended the move and when; the phase is running if none did
-// within three times the length and the shortest overtime.
+// within three times the length and the shortest grace period.
 func (c overdueSimulation) run() (Step, time.Duration) {
 	start := time.Unix(1_800_000_000, 0)
 	m := applier.Move{ID: "m", From: "v1", To: "v2", Phase: applier.PhaseRunning, BegunAt: start, Deadline: start.Add(c.length), Preference: c.preference}
@@ -39,7 +39,7 @@
 		return &Plan{MoveID: "m", Uptime: func() time.Time { return time.Unix(0, 0).Add(now) }}
 	}
 	p := newPlan()
-	for ; now < 3*c.length+MinOvertime; now += DecisionInterval {
+	for ; now < 3*c.length+MinGracePeriod; now += DecisionInterval {
 		if c.leaderTime > 0 && now-leaderSince >= c.leaderTime {
 			p = newPlan()
 		}
@@ -137,17 +137,17 @@
 		{"lost amid the first share, with requests", overdueSimulation{length: short, newSlots: slotsUntil(time.Second), requests: busy(10)}, applier.PhaseRolledBack, short},
 		{"lost at the full share", overdueSimulation{length: short, newSlots: slotsUntil(9 * time.Second)}, applier.PhaseRolledBack, short},
 		{"lost just before the deadline", overdueSimulation{length: short, newSlots: slotsUntil(10 * time.Second)}, applier.PhaseRolledBack, 10*time.Second + AbsenceTime},
-		{"too few slots", overdueSimulation{length: short, newSlots: func(time.Duration) int { return 1 }, requests: busy(10)}, applier.PhaseRolledBack, short + MinOvertime},
+		{"too few slots", overdueSimulation{length: short, newSlots: func(time.Duration) int { return 1 }, requests: busy(10)}, applier.PhaseRolledBack, short + MinGracePeriod},
 		{"too few slots, the old version lost", overdueSimulation{length: short, newSlots: func(time.Duration) int { return 1 }, requests: busy(10),
-			oldTargets: slotsUntil(5 * time.Second)}, applier.PhaseDone, short + MinOvertime},
+			oldTargets: slotsUntil(5 * time.Second)}, applier.PhaseDone, short + MinGracePeriod},
 		{"too few slots, long move", overdueSimulation{length: long, newSlots: func(time.Duration) int { return 1 }, requests: busy(10)}, applier.PhaseRolledBack, 2 * long},
-		{"suspected, then no requests", overdueSimulation{length: short, requests: suspectOnce(short)}, applier.PhaseRolledBack, short + MinOvertime},
+		{"suspected, then no requests", overdueSimulation{length: short, requests: suspectOnce(short)}, applier.PhaseRolledBack, short + MinGracePeriod},
 		{"caution without evidence", overdueSimulation{length: long, preference: applier.PreferCaution, requests: func(time.Duration) []Evidence {
 			return []Evidence{{Route: "/designs", Tally: Tally{Requests: 9}}}
 		}}, applier.PhaseRolledBack, 2 * long},
 		{"a new leader every 5 s, no targets", overdueSimulation{length: short, newSlots: slotsUntil(0), leaderTime: 5 * time.Second}, applier.PhaseRolledBack, short + AbsenceTime},
 		{"a new leader every 5 s, too few slots", overdueSimulation{length: short, newSlots: func(time.Duration) int { return 1 }, requests: busy(10), leaderTime: 5 * time.Second},
-			applier.PhaseRolledBack, short + MinOvertime + MinStageDuration},
+			applier.PhaseRolledBack, short + MinGracePeriod + MinStageDuration},
 		{"the wall clock is set back", overdueSimulation{length: short, newSlots: slotsUntil(0), wallStep: func(at time.Duration) time.Duration {
 			if at > 2*time.Second {
 				return -time.Hour
